--- /dev/null
+++ b/linetrack/__init__.py
@@ -0,0 +1,1 @@
+"""linetrack: a sidecar balancer for service-to-service calls."""
--- /dev/null
+++ b/linetrack/rules.py
@@ -0,0 +1,524 @@
+"""Every decision of linetrack.  Its whole interface is `linetrack/interface.py`.
+
+After "Load Balancing in FoundationDB": two candidates drawn up front at odds 1/penalty, the copy
+waiting for the first send's timer.  `docs/design.md` lists each departure and when it acts.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from random import Random
+
+from linetrack.interface import (
+    NEVER_RAN,
+    Action,
+    Arrival,
+    Begun,
+    Cancel,
+    ClientLeft,
+    Effect,
+    Ended,
+    Entry,
+    Event,
+    Fail,
+    FleetNews,
+    Group,
+    Health,
+    ListForm,
+    Load,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    TimerDue,
+    Watch,
+)
+
+# --- Tunables: ratios, and times with no counterpart in the settings -----------------------------
+SECOND = 1_000_000
+SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
+FORGET = 3 * SECOND  # a report or latency not renewed fades to the zone's mean over this time
+SHARPNESS = 2.0  # penalty = (expected completion / zone's mean) ** this
+ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
+HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
+BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
+BUDGET_BURST = 8.0  # and at most so many at once
+SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
+SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
+FAILS = 3  # failures in a row that start a spell
+COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
+ADMIT = 1.0  # the densest class is refused when its completion is expected past aim x this
+TILT = 0.5  # how much earlier less worth per work is refused: (density / densest) ** this
+CHANCE = 3.0  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
+HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
+HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
+ASK_AGAIN = 1 * SECOND  # first wait before discovery is asked again; doubles to ask_every / 2
+
+
+class Upstream:
+    """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
+
+    __slots__ = (
+        "cell", "cold_sent", "errors", "fails", "gone", "latency", "latency_at", "listed_start", "load",
+        "load_at", "mean_backlog", "name", "others", "out", "spell", "until", "zone",
+    )  # fmt: skip
+
+    def __init__(self, entry: Entry) -> None:
+        self.name = entry.upstream
+        self.out: dict[tuple[int, int], Attempt] = {}
+        self.fresh(entry)
+
+    def fresh(self, entry: Entry) -> None:
+        """A new process: nothing learnt before holds."""
+        self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
+        self.gone = entry.health is not Health.UP
+        self.others = self.load = self.latency = self.mean_backlog = self.errors = 0.0
+        self.load_at = self.latency_at = self.until = self.spell = self.fails = 0
+        self.cold_sent: list[int] = []
+
+
+class Attempt:
+    __slots__ = ("backlog", "expected", "number", "sent", "upstream")
+
+    def __init__(self, number: int, upstream: Upstream, now: int, backlog: float, expected: float) -> None:
+        self.number, self.upstream, self.sent = number, upstream, now
+        self.backlog, self.expected = backlog, expected
+
+
+class Request:
+    __slots__ = (
+        "arrival", "at", "began", "first", "held", "klass", "number", "out", "ran", "second", "sends",
+        "tried", "until",
+    )  # fmt: skip
+
+    def __init__(self, arrival: Arrival, klass: RequestClass, now: int) -> None:
+        self.arrival, self.klass, self.number = arrival, klass, arrival.request
+        self.at, self.until = now, now + arrival.patience
+        self.first: Upstream | None = None
+        self.second: Upstream | None = None
+        self.out: dict[int, Attempt] = {}
+        self.ran: list[tuple[Upstream, int]] = []  # upstream and send time of all that may have run
+        self.tried: list[Upstream] = []
+        self.sends = 0
+        self.held = self.began = False
+
+
+class Balancer:
+    """One instance: `handle` takes one event and returns the actions it calls for, in order."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s = settings
+        self.random = Random(seed)
+        self.now = 0
+        self.actions: list[Action] = []
+        self.fleet: dict[str, Upstream] = {}
+        self.requests: dict[int, Request] = {}
+        self.orphans: dict[tuple[int, int], Attempt] = {}
+        self.budget = BUDGET_BURST
+        self.mean_latency = 0.0
+        self.class_latency = [0.0] * len(settings.classes)
+        self.mean_worth = 0.0
+        self.mean_work = 0.0
+        self.ask_wait = ASK_AGAIN
+        self.asked = False
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.now, self.actions = now, []
+        match event:
+            case Arrival():
+                self._arrive(event)
+            case Ended():
+                self._ended(event)
+            case TimerDue():
+                self._timer(event.token)
+            case FleetNews():
+                self._news(event)
+            case ClientLeft():
+                if request := self.requests.get(event.request):
+                    self._close(request)
+            case Begun():
+                if request := self.requests.get(event.request):
+                    request.began = True
+            case _:
+                pass  # probes are never sent, peers never asked: nothing rests on their words
+        return self.actions
+
+    # --- Fleet view ------------------------------------------------------------------------------
+    def _news(self, news: FleetNews) -> None:
+        if news.form is ListForm.REFUSED:
+            # guards against a broken subscription: asked again with back-off, the old list stands
+            self._ask_later()
+            return
+        self.ask_wait = ASK_AGAIN
+        listed = set()
+        for entry in news.entries:
+            listed.add(entry.upstream)
+            upstream = self.fleet.get(entry.upstream)
+            if upstream is None:
+                upstream = self.fleet[entry.upstream] = Upstream(entry)
+            elif entry.started > upstream.listed_start:
+                upstream.fresh(entry)
+            upstream.gone = entry.health is not Health.UP
+        if news.form is not ListForm.CHANGES:
+            for upstream in self.fleet.values():
+                if upstream.name not in listed:
+                    upstream.gone = True
+        if self.s.must_ask and not self.asked:
+            self.asked = True
+            self.actions.append(Watch(True))
+
+    def _ask_later(self) -> None:
+        if self.s.must_ask:
+            self.actions.append(SetTimer(self.ask_wait, "ask"))
+            self.ask_wait = min(2 * self.ask_wait, max(ASK_AGAIN, self.s.ask_every // 2))
+
+    def _report(self, upstream: Upstream, values: tuple[float, ...]) -> None:
+        """Take a report in: requests at the upstream beyond those this instance sent itself."""
+        seen = {f: v for f, v in zip(self.s.report_fields, values, strict=False) if 0 <= v < math.inf}
+        if Load.QUEUE in seen:
+            figure = seen[Load.QUEUE]
+        elif Load.INFLIGHT in seen:
+            figure = seen[Load.INFLIGHT]
+        elif Load.UTIL in seen:
+            busy = min(seen[Load.UTIL], 0.95)
+            figure = busy / (1 - busy)
+        else:
+            return
+        beyond = max(0.0, figure - len(upstream.out))
+        # late reports swing shares: smoothed, and own sends are counted on top as they happen
+        weight = 1.0 if upstream.load_at == 0 else 2 * SMOOTH
+        upstream.others += weight * (beyond - upstream.others)
+        upstream.load_at = self.now
+
+    # --- Penalty ---------------------------------------------------------------------------------
+    def _fade(self, since: int) -> float:
+        """1 for news of this moment, towards 0 as it ages: old news must not rule."""
+        return math.exp(-(self.now - since) / FORGET) if since else 0.0
+
+    def _backlog(self, upstream: Upstream) -> float:
+        return len(upstream.out) + upstream.others * self._fade(upstream.load_at)
+
+    def _warmth(self, upstream: Upstream) -> float:
+        """The share of its capacity that a started upstream can be counted on to have."""
+        if not upstream.listed_start or not self.s.warm_up:
+            return 1.0
+        age = max(0, self.now - upstream.listed_start) / self.s.warm_up
+        return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
+
+    def _expected(self, upstream: Upstream) -> float:
+        """Expected completion of a mean request sent now; 0 while nothing is known at all."""
+        mean = self.mean_latency
+        known = self._fade(upstream.latency_at)
+        latency = upstream.latency * known + mean * (1 - known)
+        backlog = upstream.mean_backlog * known + self._backlog(upstream) * (1 - known)
+        expected = latency * (1 + self._backlog(upstream)) / (1 + backlog) / self._warmth(upstream)
+        if upstream.out:
+            # guards against a hung upstream: the oldest silence is a lower bound on its latency
+            oldest = next(iter(upstream.out.values()))
+            expected = max(expected, self.now - oldest.sent - 2 * oldest.expected + expected)
+        return expected
+
+    def _scale(self, klass: int) -> float:
+        mine = self.class_latency[klass]
+        return mine / self.mean_latency if mine and self.mean_latency else 1.0
+
+    def _penalties(self, upstreams: list[Upstream], crossing: bool) -> list[float]:
+        expected = [self._expected(u) for u in upstreams]
+        home = [e for u, e in zip(upstreams, expected, strict=True) if u.zone == self.s.zone] or expected
+        mean = max(1.0, sum(home) / len(home)) if home else 1.0
+        penalties = []
+        for upstream, value in zip(upstreams, expected, strict=True):
+            penalty = max(0.05, value / mean) ** SHARPNESS
+            # guards against a fast-failing upstream that looks idle: errors count as load
+            penalty *= (1 - min(0.9, upstream.errors)) ** -ERROR_WEIGHT
+            if crossing and upstream.zone != self.s.zone:
+                penalty *= 1 + self.s.price_cross * 20
+            penalties.append(penalty)
+        return penalties
+
+    # --- Candidates ------------------------------------------------------------------------------
+    def _ready(self, request: Request, zone: int | None, barred: Iterable[Upstream] = ()) -> list[Upstream]:
+        """Listed, up, allowed by the guard, and not in a spell; never empty for spells alone."""
+        usable = [
+            u
+            for u in self.fleet.values()
+            if not u.gone and (zone is None or u.zone == zone) and u not in barred and self._may(request, u)
+        ]
+        # never mark a whole zone unavailable: when all are in a spell, none is
+        return [u for u in usable if self._open_to(request, u)] or usable
+
+    def _open_to(self, request: Request, upstream: Upstream) -> bool:
+        """Out of its spell; the first sends after one are trials with a repeatable request."""
+        if upstream.until > self.now:
+            return False
+        if not upstream.spell:
+            return True
+        return request.klass.effect is not Effect.UNSAFE and not upstream.out
+
+    def _draw(self, upstreams: list[Upstream], crossing: bool) -> Upstream | None:
+        if not upstreams:
+            return None
+        odds = [1 / p for p in self._penalties(upstreams, crossing)]
+        return self.random.choices(upstreams, odds)[0]
+
+    def _candidates(self, request: Request) -> None:
+        home = self._ready(request, self.s.zone)
+        away = [u for u in self._ready(request, None) if u.zone != self.s.zone]
+        request.first = self._draw(home, False)
+        if away and (request.first is None or self._spill(request, request.first, away)):
+            request.first = self._draw(away, True)
+        rest = self._ready(request, None, [request.first] if request.first else [])
+        request.second = self._draw(rest, True)
+
+    # --- Admission -------------------------------------------------------------------------------
+    def _chance(self, request: Request, expected: float) -> float:
+        """Chance that an answer expected in that time makes what is left of the aim."""
+        left = request.klass.aim - (self.now - request.at)
+        return 1 / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
+
+    def _value(self, request: Request) -> float:
+        """Worth of this request as a multiple of the mean request's."""
+        work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
+        size = (work or self._scale(request.arrival.klass)) if self.s.worth_by_work else 1.0
+        return request.klass.worth * size / self.mean_worth if self.mean_worth else 1.0
+
+    def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
+        """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
+        scale = self._scale(request.arrival.klass)
+        here = self._chance(request, scale * self._expected(first))
+        there = max(self._chance(request, scale * self._expected(u)) for u in away)
+        return (there - here) * self._value(request) > self.s.price_cross
+
+    def _hopeless(self, request: Request, first: Upstream) -> bool:
+        """Load shedding: expected past the aim; less worth per work is shed earlier."""
+        expected = self._scale(request.arrival.klass) * self._expected(first)
+        densities = [self._density(n) for n in range(len(self.s.classes))]
+        tilt: float = (self._density(request.arrival.klass) / max(densities)) ** TILT
+        return expected > request.klass.aim * ADMIT * tilt
+
+    def _density(self, klass: int) -> float:
+        worth = max(1e-9, self.s.classes[klass].worth)
+        return worth if self.s.worth_by_work else worth / self._scale(klass)
+
+    def _observe(self, arrival: Arrival) -> None:
+        work = float(arrival.work)
+        if work > 0:
+            self.mean_work += SMOOTH / 4 * (work - self.mean_work) if self.mean_work else work
+        size = (
+            (work / self.mean_work if work else self._scale(arrival.klass)) if self.s.worth_by_work else 1.0
+        )
+        worth = self.s.classes[arrival.klass].worth * size
+        self.mean_worth += SMOOTH / 4 * (worth - self.mean_worth) if self.mean_worth else worth
+
+    # --- Attempts --------------------------------------------------------------------------------
+    def _arrive(self, arrival: Arrival) -> None:
+        request = Request(arrival, self.s.classes[arrival.klass], self.now)
+        self.requests[request.number] = request
+        self.budget = min(BUDGET_BURST, self.budget + BUDGET_SHARE)
+        self._observe(arrival)
+        self._start(request)
+
+    def _start(self, request: Request) -> None:
+        self._candidates(request)
+        if request.first is None:
+            self._hold(request)
+        elif self._hopeless(request, request.first):
+            self._end(request)
+        else:
+            self._send(request, request.first)
+
+    def _hold(self, request: Request) -> None:
+        """No upstream may be sent to: look again shortly, for a share of the aim at most."""
+        limit = min(request.until - 2 * HOLD_STEP, request.at + int(HOLD_SHARE * request.klass.aim))
+        if self.now + HOLD_STEP > limit:
+            self._end(request)
+        else:
+            request.held = True
+            self.actions.append(SetTimer(HOLD_STEP, f"hold:{request.number}"))
+
+    def _timer(self, token: str) -> None:
+        kind, _, rest = token.partition(":")
+        if kind == "ask":
+            self.actions.append(Watch(True))
+            return
+        request = self.requests.get(int(rest)) if rest.isdigit() else None
+        if request is None:
+            return
+        if kind == "hold" and request.held:
+            request.held = False
+            self._start(request)
+        elif kind == "copy" and len(request.out) == 1 and not request.began:
+            self._further(request, copy=True)
+
+    def _further(self, request: Request, copy: bool) -> None:
+        """The second candidate, then the rotation; a copy only while the first is out."""
+        target = self._next(request)
+        useful = target is not None and self._useful(request, target)
+        if target is not None and useful and self.budget >= 1 and self._send(request, target):
+            self.budget -= 1
+        elif not copy and not request.out:
+            self._end(request)
+
+    def _next(self, request: Request) -> Upstream | None:
+        second = request.second
+        fresh = self._ready(request, None, request.tried)
+        if second in fresh:
+            return second
+        # the appendix's rotation: the next one in list order after the last tried, own zone first
+        order = list(self.fleet.values())
+        start = order.index(request.tried[-1]) if request.tried else 0
+        turn = order[start:] + order[:start]
+        home = [u for u in turn if u in fresh and u.zone == self.s.zone]
+        return next(iter(home), next((u for u in turn if u in fresh), None))
+
+    def _useful(self, request: Request, target: Upstream) -> bool:
+        """A further attempt must be likely to earn more than its crossing costs."""
+        expected = self._scale(request.arrival.klass) * self._expected(target)
+        price = self.s.price_cross if target.zone != self.s.zone else 0.0
+        worth = self._chance(request, expected)
+        if expected < request.until - self.now:
+            worth = max(worth, request.klass.late_worth)
+        return worth * self._value(request) > price and worth > 0.05
+
+    def _ended(self, event: Ended) -> None:
+        request = self.requests.get(event.request)
+        if request:
+            attempt = request.out.pop(event.attempt, None)
+        else:
+            attempt = self.orphans.pop((event.request, event.attempt), None)
+        if attempt is not None:
+            attempt.upstream.out.pop((event.request, event.attempt), None)
+            self._learn(attempt, event, event.request)
+        if request is None:
+            return
+        if event.over:
+            self._close(request)
+            return
+        if attempt is None:
+            return
+        if event.outcome not in NEVER_RAN:
+            request.ran.append((attempt.upstream, attempt.sent))
+        if request.out or request.held:
+            return
+        self._further(request, copy=False)
+
+    # --- Health ----------------------------------------------------------------------------------
+    def _learn(self, attempt: Attempt, event: Ended, number: int) -> None:
+        upstream, outcome = attempt.upstream, event.outcome
+        if event.report:
+            self._report(upstream, event.report)
+        if outcome is Outcome.MOOT:
+            return
+        good = outcome is Outcome.OK
+        request = self.requests.get(number)
+        if good or (outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and event.latency > attempt.expected):
+            klass = request.arrival.klass if request else -1
+            self._timed(upstream, event.latency, attempt.backlog, klass)
+        if outcome is Outcome.CANCELLED:
+            return
+        upstream.errors += SMOOTH * ((not good and outcome is not Outcome.FULL) - upstream.errors)
+        if good:
+            upstream.fails = upstream.spell = 0
+            return
+        upstream.fails += 1
+        # a full or unreachable upstream says so at once; other failures must repeat, or fail a trial
+        plain = outcome in (Outcome.FULL, Outcome.CONNECT_FAILED)
+        if plain or upstream.spell or upstream.fails >= FAILS:
+            if self.now >= upstream.until:
+                upstream.spell = min(SPELL_MAX, 2 * upstream.spell) if upstream.spell else SPELL
+            upstream.until = max(upstream.until, self.now + upstream.spell)
+
+    def _timed(self, upstream: Upstream, latency: int, backlog: float, klass: int) -> None:
+        value = float(latency)
+        if klass >= 0:
+            mine = self.class_latency[klass]
+            self.class_latency[klass] += SMOOTH / 4 * (value - mine) if mine else value
+            value /= self._scale(klass)
+            mean = self.mean_latency
+            self.mean_latency += SMOOTH / 4 * (latency - mean) if mean else latency
+        if upstream.latency:
+            upstream.latency += SMOOTH * (value - upstream.latency)
+            upstream.mean_backlog += SMOOTH * (backlog - upstream.mean_backlog)
+        else:
+            upstream.latency, upstream.mean_backlog = value, backlog
+        upstream.latency_at = self.now
+
+    # --- Cold start ------------------------------------------------------------------------------
+    def _cold_room(self, upstream: Upstream) -> bool:
+        """The fall budget: holds when all instances act alike, whatever the odds say.
+
+        In each span of `overload_for` the tier may send multiple x share x span of work; each instance
+        takes its part of a safe fraction, and where that is less than one request, every k-th span,
+        staggered by instance number and the upstream's age.
+        """
+        share = self._warmth(upstream)
+        if share >= 1 or not self.s.overload_for or not self.s.fall_multiple:
+            return True
+        cost = 1.5 * (self.mean_latency or max(c.aim for c in self.s.classes))
+        span = self.s.overload_for
+        room = self.s.fall_multiple * share * COLD_SAFETY * span / cost / self.s.instances
+        turn = max(0, self.now - upstream.listed_start) // span
+        if room < 1 and (turn + self.s.instance) % math.ceil(1 / room):
+            return False
+        upstream.cold_sent = [t for t in upstream.cold_sent if t > self.now - span]
+        return len(upstream.cold_sent) < max(1, int(room))
+
+    # --- The guard: every send and every final answer passes here --------------------------------
+    def _may(self, request: Request, upstream: Upstream) -> bool:
+        """Whether the rules allow this request's next attempt to go to this upstream now."""
+        s, klass = self.s, request.klass
+        if upstream.gone or request.began or self.now >= request.until or request.sends >= s.max_attempts:
+            return False
+        maybe = request.ran + [(a.upstream, a.sent) for a in request.out.values()]
+        if request.out and not s.parallel:
+            return False
+        if maybe and klass.effect is Effect.UNSAFE:
+            return False
+        if maybe and klass.effect is Effect.KEYED:
+            if self.now >= min(sent for _, sent in maybe) + klass.window:
+                return False
+            first = maybe[0][0]
+            if klass.group is Group.ZONE and upstream.zone != first.zone:
+                return False
+            if klass.group is Group.CELL and (upstream.zone, upstream.cell) != (first.zone, first.cell):
+                return False
+        return self._cold_room(upstream)
+
+    def _send(self, request: Request, upstream: Upstream) -> bool:
+        if request.number not in self.requests or not self._may(request, upstream):
+            return False
+        expected = self._scale(request.arrival.klass) * self._expected(upstream)
+        attempt = Attempt(request.sends, upstream, self.now, self._backlog(upstream), expected)
+        request.out[attempt.number] = attempt
+        upstream.out[(request.number, attempt.number)] = attempt
+        request.sends += 1
+        request.tried.append(upstream)
+        if self._warmth(upstream) < 1:
+            upstream.cold_sent.append(self.now)
+        self.actions.append(Send(request.number, upstream.name))
+        if self.s.parallel and request.klass.effect is not Effect.UNSAFE and expected:
+            self.actions.append(SetTimer(int(HEDGE_AFTER * expected) + 1, f"copy:{request.number}"))
+        return True
+
+    def _end(self, request: Request) -> None:
+        """The final answer of a request given up on: a refusal where the rule allows one."""
+        klass = request.klass
+        maybe = bool(request.ran or request.out)
+        repeats = klass.effect is Effect.SAFE or (klass.effect is Effect.KEYED and klass.group is Group.ALL)
+        if not maybe or repeats:
+            advice = min(self.s.max_retry_after, klass.aim) if self.s.retry_advice else 0
+            self.actions.append(Refuse(request.number, advice))
+        else:
+            self.actions.append(Fail(request.number))
+        self._close(request)
+
+    def _close(self, request: Request) -> None:
+        """The request is over: nothing more goes out for it, copies still out are called off."""
+        del self.requests[request.number]
+        for number, attempt in request.out.items():
+            self.orphans[(request.number, number)] = attempt
+            if self.s.may_cancel and not request.began:
+                self.actions.append(Cancel(request.number, number))
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Lint, type checks and tests, in a virtual environment of their own.
+set -eu
+cd "$(dirname "$0")/.."
+if ! test -x .venv-dev/bin/pytest; then
+    python3 -m venv .venv-dev
+fi
+.venv-dev/bin/pip -q install -r requirements-dev.txt
+.venv-dev/bin/ruff format --check .
+.venv-dev/bin/ruff check .
+.venv-dev/bin/mypy
+exec .venv-dev/bin/pytest
