Estimate service per request in hand and a rising cost of work

Cause: refusals came from a fixed tilt and from service times that ignored the backlog they were seen under.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -40,7 +40,8 @@
 # --- Tunables: ratios, and times with no counterpart in the settings -----------------------------
 SECOND = 1_000_000
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
-FORGET = 3 * SECOND  # a report or latency not renewed fades to the zone's mean over this time
+FORGET_LOAD = 3 * SECOND  # a load report not renewed fades to the mean over this time
+FORGET_SPEED = 12 * SECOND  # an observed service time not renewed fades to the mean over this time
 SHARPNESS = 2.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
@@ -50,8 +51,8 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 FAILS = 3  # failures in a row that start a spell
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-ADMIT = 1.0  # the densest class is refused when its completion is expected past aim x this
-TILT = 0.5  # how much earlier less worth per work is refused: (density / densest) ** this
+CALM = 0.4  # expected completion over aim up to which work costs nobody else anything
+CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 CHANCE = 3.0  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
@@ -62,8 +63,8 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "cell", "cold_sent", "errors", "fails", "gone", "latency", "latency_at", "listed_start", "load",
-        "load_at", "mean_backlog", "name", "others", "out", "spell", "until", "zone",
+        "cell", "cold_sent", "errors", "fails", "gone", "listed_start", "load_at", "name", "others", "out",
+        "service", "service_at", "spell", "until", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -75,17 +76,18 @@
         """A new process: nothing learnt before holds."""
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
         self.gone = entry.health is not Health.UP
-        self.others = self.load = self.latency = self.mean_backlog = self.errors = 0.0
-        self.load_at = self.latency_at = self.until = self.spell = self.fails = 0
+        self.others = self.service = self.errors = 0.0
+        self.load_at = self.service_at = self.until = self.spell = self.fails = 0
         self.cold_sent: list[int] = []
 
 
 class Attempt:
-    __slots__ = ("backlog", "expected", "number", "sent", "upstream")
+    __slots__ = ("backlog", "expected", "klass", "number", "sent", "upstream")
 
-    def __init__(self, number: int, upstream: Upstream, now: int, backlog: float, expected: float) -> None:
-        self.number, self.upstream, self.sent = number, upstream, now
-        self.backlog, self.expected = backlog, expected
+    def __init__(self, request: Request, upstream: Upstream, now: int) -> None:
+        self.number, self.klass = request.sends, request.arrival.klass
+        self.upstream, self.sent = upstream, now
+        self.backlog = self.expected = 0.0
 
 
 class Request:
@@ -118,7 +120,7 @@
         self.requests: dict[int, Request] = {}
         self.orphans: dict[tuple[int, int], Attempt] = {}
         self.budget = BUDGET_BURST
-        self.mean_latency = 0.0
+        self.mean_latency = self.mean_service = self.mean_others = 0.0
         self.class_latency = [0.0] * len(settings.classes)
         self.mean_worth = 0.0
         self.mean_work = 0.0
@@ -189,17 +191,19 @@
             return
         beyond = max(0.0, figure - len(upstream.out))
         # late reports swing shares: smoothed, and own sends are counted on top as they happen
-        weight = 1.0 if upstream.load_at == 0 else 2 * SMOOTH
-        upstream.others += weight * (beyond - upstream.others)
+        upstream.others += 2 * SMOOTH * (beyond - upstream.others) if upstream.load_at else beyond
         upstream.load_at = self.now
+        self.mean_others += SMOOTH / 4 * (beyond - self.mean_others)
 
     # --- Penalty ---------------------------------------------------------------------------------
-    def _fade(self, since: int) -> float:
-        """1 for news of this moment, towards 0 as it ages: old news must not rule."""
-        return math.exp(-(self.now - since) / FORGET) if since else 0.0
+    def _faded(self, value: float, since: int, mean: float, over: int) -> float:
+        """The value while news of it is fresh, towards the mean as it ages: old news must not rule."""
+        return mean + (value - mean) * math.exp((since - self.now) / over) if since else mean
 
     def _backlog(self, upstream: Upstream) -> float:
-        return len(upstream.out) + upstream.others * self._fade(upstream.load_at)
+        """Requests at the upstream: own ones still out, and what its reports told beyond them."""
+        others = self._faded(upstream.others, upstream.load_at, self.mean_others, FORGET_LOAD)
+        return len(upstream.out) + others
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
@@ -210,11 +214,8 @@
 
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent now; 0 while nothing is known at all."""
-        mean = self.mean_latency
-        known = self._fade(upstream.latency_at)
-        latency = upstream.latency * known + mean * (1 - known)
-        backlog = upstream.mean_backlog * known + self._backlog(upstream) * (1 - known)
-        expected = latency * (1 + self._backlog(upstream)) / (1 + backlog) / self._warmth(upstream)
+        service = self._faded(upstream.service, upstream.service_at, self.mean_service, FORGET_SPEED)
+        expected = service * (1 + self._backlog(upstream)) / self._warmth(upstream)
         if upstream.out:
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
             oldest = next(iter(upstream.out.values()))
@@ -235,7 +236,7 @@
             # guards against a fast-failing upstream that looks idle: errors count as load
             penalty *= (1 - min(0.9, upstream.errors)) ** -ERROR_WEIGHT
             if crossing and upstream.zone != self.s.zone:
-                penalty *= 1 + self.s.price_cross * 20
+                penalty *= 1 + self.s.price_cross * CROSS_AVERSION
             penalties.append(penalty)
         return penalties
 
@@ -293,11 +294,19 @@
         return (there - here) * self._value(request) > self.s.price_cross
 
     def _hopeless(self, request: Request, first: Upstream) -> bool:
-        """Load shedding: expected past the aim; less worth per work is shed earlier."""
-        expected = self._scale(request.arrival.klass) * self._expected(first)
-        densities = [self._density(n) for n in range(len(self.s.classes))]
-        tilt: float = (self._density(request.arrival.klass) / max(densities)) ** TILT
-        return expected > request.klass.aim * ADMIT * tilt
+        """Load shedding: the worth likely earned is below what the work would cost others.
+
+        Work costs nothing while completion is expected well inside the aims, and as much as the
+        densest class earns once it reaches them; so less worth per work is shed earlier.
+        """
+        expected = self._expected(first)
+        if not expected:
+            return False
+        classes = range(len(self.s.classes))
+        room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
+        cost = min(1.0, max(0.0, (expected / room - CALM) / (1 - CALM))) * max(map(self._density, classes))
+        klass = request.arrival.klass
+        return self._chance(request, self._scale(klass) * expected) * self._density(klass) < cost
 
     def _density(self, klass: int) -> float:
         worth = max(1e-9, self.s.classes[klass].worth)
@@ -391,7 +400,7 @@
             attempt = self.orphans.pop((event.request, event.attempt), None)
         if attempt is not None:
             attempt.upstream.out.pop((event.request, event.attempt), None)
-            self._learn(attempt, event, event.request)
+            self._learn(attempt, event)
         if request is None:
             return
         if event.over:
@@ -406,17 +415,15 @@
         self._further(request, copy=False)
 
     # --- Health ----------------------------------------------------------------------------------
-    def _learn(self, attempt: Attempt, event: Ended, number: int) -> None:
+    def _learn(self, attempt: Attempt, event: Ended) -> None:
         upstream, outcome = attempt.upstream, event.outcome
         if event.report:
             self._report(upstream, event.report)
         if outcome is Outcome.MOOT:
             return
         good = outcome is Outcome.OK
-        request = self.requests.get(number)
         if good or (outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and event.latency > attempt.expected):
-            klass = request.arrival.klass if request else -1
-            self._timed(upstream, event.latency, attempt.backlog, klass)
+            self._timed(attempt, event.latency)
         if outcome is Outcome.CANCELLED:
             return
         upstream.errors += SMOOTH * ((not good and outcome is not Outcome.FULL) - upstream.errors)
@@ -431,20 +438,16 @@
                 upstream.spell = min(SPELL_MAX, 2 * upstream.spell) if upstream.spell else SPELL
             upstream.until = max(upstream.until, self.now + upstream.spell)
 
-    def _timed(self, upstream: Upstream, latency: int, backlog: float, klass: int) -> None:
-        value = float(latency)
-        if klass >= 0:
-            mine = self.class_latency[klass]
-            self.class_latency[klass] += SMOOTH / 4 * (value - mine) if mine else value
-            value /= self._scale(klass)
-            mean = self.mean_latency
-            self.mean_latency += SMOOTH / 4 * (latency - mean) if mean else latency
-        if upstream.latency:
-            upstream.latency += SMOOTH * (value - upstream.latency)
-            upstream.mean_backlog += SMOOTH * (backlog - upstream.mean_backlog)
-        else:
-            upstream.latency, upstream.mean_backlog = value, backlog
-        upstream.latency_at = self.now
+    def _timed(self, attempt: Attempt, latency: int) -> None:
+        """Take an observed latency in, as the time a mean request costs for each one in hand."""
+        upstream, klass, slow = attempt.upstream, attempt.klass, SMOOTH / 4
+        mean = self.class_latency[klass]
+        self.class_latency[klass] += slow * (latency - mean) if mean else latency
+        self.mean_latency += slow * (latency - self.mean_latency) if self.mean_latency else latency
+        service = latency / self._scale(klass) / (1 + attempt.backlog)
+        self.mean_service += slow * (service - self.mean_service) if self.mean_service else service
+        upstream.service += SMOOTH * (service - upstream.service) if upstream.service else service
+        upstream.service_at = self.now
 
     # --- Cold start ------------------------------------------------------------------------------
     def _cold_room(self, upstream: Upstream) -> bool:
@@ -490,8 +493,9 @@
     def _send(self, request: Request, upstream: Upstream) -> bool:
         if request.number not in self.requests or not self._may(request, upstream):
             return False
-        expected = self._scale(request.arrival.klass) * self._expected(upstream)
-        attempt = Attempt(request.sends, upstream, self.now, self._backlog(upstream), expected)
+        attempt = Attempt(request, upstream, self.now)
+        attempt.expected = expected = self._scale(attempt.klass) * self._expected(upstream)
+        attempt.backlog = self._backlog(upstream)
         request.out[attempt.number] = attempt
         upstream.out[(request.number, attempt.number)] = attempt
         request.sends += 1
