--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -40,6 +40,7 @@
 # --- Tunables: ratios, and times with no counterpart in the settings -----------------------------
 SECOND = 1_000_000
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
+BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
 FORGET_LOAD = 3 * SECOND  # a load report not renewed fades to the mean over this time
 FORGET_SPEED = 12 * SECOND  # an observed service time not renewed fades to the mean over this time
 SHARPNESS = 2.0  # penalty = (expected completion / zone's mean) ** this
@@ -121,6 +122,7 @@
         self.orphans: dict[tuple[int, int], Attempt] = {}
         self.budget = BUDGET_BURST
         self.mean_latency = self.mean_service = self.mean_others = 0.0
+        self.bias = 1.0
         self.class_latency = [0.0] * len(settings.classes)
         self.mean_worth = 0.0
         self.mean_work = 0.0
@@ -185,7 +187,7 @@
         elif Load.INFLIGHT in seen:
             figure = seen[Load.INFLIGHT]
         elif Load.UTIL in seen:
-            busy = min(seen[Load.UTIL], 0.95)
+            busy = min(seen[Load.UTIL], BUSIEST)
             figure = busy / (1 - busy)
         else:
             return
@@ -289,6 +291,7 @@
     def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
         scale = self._scale(request.arrival.klass)
+        scale *= self.bias
         here = self._chance(request, scale * self._expected(first))
         there = max(self._chance(request, scale * self._expected(u)) for u in away)
         return (there - here) * self._value(request) > self.s.price_cross
@@ -302,6 +305,7 @@
         expected = self._expected(first)
         if not expected:
             return False
+        expected *= self.bias
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
         cost = min(1.0, max(0.0, (expected / room - CALM) / (1 - CALM))) * max(map(self._density, classes))
@@ -446,8 +450,13 @@
         self.mean_latency += slow * (latency - self.mean_latency) if self.mean_latency else latency
         service = latency / self._scale(klass) / (1 + attempt.backlog)
         self.mean_service += slow * (service - self.mean_service) if self.mean_service else service
-        upstream.service += SMOOTH * (service - upstream.service) if upstream.service else service
+        # in ratios, so that one very heavy request does not make an upstream look slow
+        known = upstream.service or self.mean_service
+        upstream.service = known * (max(service, 1.0) / known) ** (SMOOTH / 2)
         upstream.service_at = self.now
+        if attempt.expected:
+            # guards against refusing on a model that errs: scaled by what sends really took
+            self.bias += slow * (min(4.0, latency / attempt.expected) - self.bias)
 
     # --- Cold start ------------------------------------------------------------------------------
     def _cold_room(self, upstream: Upstream) -> bool:
