--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -52,7 +52,7 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 FAILS = 3  # failures in a row that start a spell
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-CALM = 0.4  # expected completion over aim up to which work costs nobody else anything
+CALM = 0.6  # expected completion over aim up to which work costs nobody else anything
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 CHANCE = 3.0  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
@@ -122,7 +122,7 @@
         self.orphans: dict[tuple[int, int], Attempt] = {}
         self.budget = BUDGET_BURST
         self.mean_latency = self.mean_service = self.mean_others = 0.0
-        self.bias = 1.0
+        self.bias, self.bias_at = 1.0, 0
         self.class_latency = [0.0] * len(settings.classes)
         self.mean_worth = 0.0
         self.mean_work = 0.0
@@ -224,6 +224,10 @@
             expected = max(expected, self.now - oldest.sent - 2 * oldest.expected + expected)
         return expected
 
+    def _bias(self) -> float:
+        """Observed over expected completion; fades, so that refusing everything cannot last."""
+        return self._faded(self.bias, self.bias_at, 1.0, FORGET_LOAD)
+
     def _scale(self, klass: int) -> float:
         mine = self.class_latency[klass]
         return mine / self.mean_latency if mine and self.mean_latency else 1.0
@@ -291,7 +295,7 @@
     def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
         scale = self._scale(request.arrival.klass)
-        scale *= self.bias
+        scale *= self._bias()
         here = self._chance(request, scale * self._expected(first))
         there = max(self._chance(request, scale * self._expected(u)) for u in away)
         return (there - here) * self._value(request) > self.s.price_cross
@@ -305,7 +309,7 @@
         expected = self._expected(first)
         if not expected:
             return False
-        expected *= self.bias
+        expected *= self._bias()
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
         cost = min(1.0, max(0.0, (expected / room - CALM) / (1 - CALM))) * max(map(self._density, classes))
@@ -456,7 +460,8 @@
         upstream.service_at = self.now
         if attempt.expected:
             # guards against refusing on a model that errs: scaled by what sends really took
-            self.bias += slow * (min(4.0, latency / attempt.expected) - self.bias)
+            bias = self._bias()
+            self.bias, self.bias_at = bias + slow * (min(3.0, latency / attempt.expected) - bias), self.now
 
     # --- Cold start ------------------------------------------------------------------------------
     def _cold_room(self, upstream: Upstream) -> bool:
