--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -41,9 +41,9 @@
 SECOND = 1_000_000
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
 BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
-FORGET_LOAD = 3 * SECOND  # a load report not renewed fades to the mean over this time
+FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
 FORGET_SPEED = 12 * SECOND  # an observed service time not renewed fades to the mean over this time
-SHARPNESS = 2.0  # penalty = (expected completion / zone's mean) ** this
+SHARPNESS = 4.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
@@ -226,7 +226,7 @@
 
     def _bias(self) -> float:
         """Observed over expected completion; fades, so that refusing everything cannot last."""
-        return self._faded(self.bias, self.bias_at, 1.0, FORGET_LOAD)
+        return self._faded(self.bias, self.bias_at, 1.0, 3 * FORGET_LOAD)
 
     def _scale(self, klass: int) -> float:
         mine = self.class_latency[klass]
