--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -42,6 +42,7 @@
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
 BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
 FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
+REPORT_WEIGHT = 0.3  # a request told of in a report, beside an own one: late and noisy, so worth less
 FORGET_SPEED = 12 * SECOND  # an observed service time not renewed fades to the mean over this time
 SHARPNESS = 4.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
@@ -205,7 +206,7 @@
     def _backlog(self, upstream: Upstream) -> float:
         """Requests at the upstream: own ones still out, and what its reports told beyond them."""
         others = self._faded(upstream.others, upstream.load_at, self.mean_others, FORGET_LOAD)
-        return len(upstream.out) + others
+        return len(upstream.out) + REPORT_WEIGHT * others
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
