--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -42,9 +42,9 @@
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
 BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
 FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
-REPORT_WEIGHT = 0.3  # a request told of in a report, beside an own one: late and noisy, so worth less
+REPORT_WEIGHT = 0.2  # a request told of in a report, beside an own one: late and noisy, so worth less
 FORGET_SPEED = 12 * SECOND  # an observed service time not renewed fades to the mean over this time
-SHARPNESS = 4.0  # penalty = (expected completion / zone's mean) ** this
+SHARPNESS = 6.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
