--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -51,7 +51,7 @@
 BUDGET_BURST = 8.0  # and at most so many at once
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
-FAILS = 3  # failures in a row that start a spell
+SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
 CALM = 0.6  # expected completion over aim up to which work costs nobody else anything
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
@@ -65,7 +65,7 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "cell", "cold_sent", "errors", "fails", "gone", "listed_start", "load_at", "name", "others", "out",
+        "cell", "cold_sent", "errors", "gone", "listed_start", "load_at", "name", "others", "out",
         "service", "service_at", "spell", "until", "zone",
     )  # fmt: skip
 
@@ -79,7 +79,7 @@
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
         self.gone = entry.health is not Health.UP
         self.others = self.service = self.errors = 0.0
-        self.load_at = self.service_at = self.until = self.spell = self.fails = 0
+        self.load_at = self.service_at = self.until = self.spell = 0
         self.cold_sent: list[int] = []
 
 
@@ -437,12 +437,13 @@
             return
         upstream.errors += SMOOTH * ((not good and outcome is not Outcome.FULL) - upstream.errors)
         if good:
-            upstream.fails = upstream.spell = 0
+            # guards against a flaky upstream let in by one lucky answer: the share must fall first
+            if upstream.errors < SICK / 3:
+                upstream.spell = 0
             return
-        upstream.fails += 1
         # a full or unreachable upstream says so at once; other failures must repeat, or fail a trial
         plain = outcome in (Outcome.FULL, Outcome.CONNECT_FAILED)
-        if plain or upstream.spell or upstream.fails >= FAILS:
+        if plain or upstream.spell or upstream.errors >= SICK:
             if self.now >= upstream.until:
                 upstream.spell = min(SPELL_MAX, 2 * upstream.spell) if upstream.spell else SPELL
             upstream.until = max(upstream.until, self.now + upstream.spell)
