--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -282,10 +282,11 @@
         request.second = self._draw(rest, True)
 
     # --- Admission -------------------------------------------------------------------------------
-    def _chance(self, request: Request, expected: float) -> float:
-        """Chance that an answer expected in that time makes what is left of the aim."""
+    def _chance(self, request: Request, upstream: Upstream) -> float:
+        """Chance that an attempt sent there now is answered without error within the aim."""
         left = request.klass.aim - (self.now - request.at)
-        return 1 / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
+        expected = self._scale(request.arrival.klass) * self._bias() * self._expected(upstream)
+        return (1 - min(0.9, upstream.errors)) / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
 
     def _value(self, request: Request) -> float:
         """Worth of this request as a multiple of the mean request's."""
@@ -295,10 +296,8 @@
 
     def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        scale = self._scale(request.arrival.klass)
-        scale *= self._bias()
-        here = self._chance(request, scale * self._expected(first))
-        there = max(self._chance(request, scale * self._expected(u)) for u in away)
+        here = self._chance(request, first)
+        there = max(self._chance(request, u) for u in away)
         return (there - here) * self._value(request) > self.s.price_cross
 
     def _hopeless(self, request: Request, first: Upstream) -> bool:
@@ -307,15 +306,12 @@
         Work costs nothing while completion is expected well inside the aims, and as much as the
         densest class earns once it reaches them; so less worth per work is shed earlier.
         """
-        expected = self._expected(first)
-        if not expected:
-            return False
-        expected *= self._bias()
+        expected = self._expected(first) * self._bias()
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
         cost = min(1.0, max(0.0, (expected / room - CALM) / (1 - CALM))) * max(map(self._density, classes))
         klass = request.arrival.klass
-        return self._chance(request, self._scale(klass) * expected) * self._density(klass) < cost
+        return self._chance(request, first) * self._density(klass) < cost
 
     def _density(self, klass: int) -> float:
         worth = max(1e-9, self.s.classes[klass].worth)
@@ -396,7 +392,7 @@
         """A further attempt must be likely to earn more than its crossing costs."""
         expected = self._scale(request.arrival.klass) * self._expected(target)
         price = self.s.price_cross if target.zone != self.s.zone else 0.0
-        worth = self._chance(request, expected)
+        worth = self._chance(request, target)
         if expected < request.until - self.now:
             worth = max(worth, request.klass.late_worth)
         return worth * self._value(request) > price and worth > 0.05
