--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -65,7 +65,7 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "cell", "cold_sent", "errors", "gone", "listed_start", "load_at", "name", "others", "out",
+        "cell", "cold_sent", "errors", "gone", "heard_at", "listed_start", "load_at", "name", "others", "out",
         "service", "service_at", "spell", "until", "zone",
     )  # fmt: skip
 
@@ -79,7 +79,7 @@
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
         self.gone = entry.health is not Health.UP
         self.others = self.service = self.errors = 0.0
-        self.load_at = self.service_at = self.until = self.spell = 0
+        self.heard_at = self.load_at = self.service_at = self.until = self.spell = 0
         self.cold_sent: list[int] = []
 
 
@@ -203,10 +203,10 @@
         """The value while news of it is fresh, towards the mean as it ages: old news must not rule."""
         return mean + (value - mean) * math.exp((since - self.now) / over) if since else mean
 
-    def _backlog(self, upstream: Upstream) -> float:
+    def _backlog(self, upstream: Upstream, weight: float) -> float:
         """Requests at the upstream: own ones still out, and what its reports told beyond them."""
         others = self._faded(upstream.others, upstream.load_at, self.mean_others, FORGET_LOAD)
-        return len(upstream.out) + REPORT_WEIGHT * others
+        return len(upstream.out) + weight * (others if upstream.load_at else 0.0)
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
@@ -218,7 +218,7 @@
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent now; 0 while nothing is known at all."""
         service = self._faded(upstream.service, upstream.service_at, self.mean_service, FORGET_SPEED)
-        expected = service * (1 + self._backlog(upstream)) / self._warmth(upstream)
+        expected = service * (1 + self._backlog(upstream, REPORT_WEIGHT)) / self._warmth(upstream)
         if upstream.out:
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
             oldest = next(iter(upstream.out.values()))
@@ -431,6 +431,10 @@
             self._timed(attempt, event.latency)
         if outcome is Outcome.CANCELLED:
             return
+        if outcome is Outcome.TIMEOUT and upstream.heard_at > attempt.sent:
+            return  # slow, not silent: the latency counts it; overload must not look like failure
+        if outcome is not Outcome.TIMEOUT:
+            upstream.heard_at = self.now
         upstream.errors += SMOOTH * ((not good and outcome is not Outcome.FULL) - upstream.errors)
         if good:
             # guards against a flaky upstream let in by one lucky answer: the share must fall first
@@ -450,7 +454,7 @@
         mean = self.class_latency[klass]
         self.class_latency[klass] += slow * (latency - mean) if mean else latency
         self.mean_latency += slow * (latency - self.mean_latency) if self.mean_latency else latency
-        service = latency / self._scale(klass) / (1 + attempt.backlog)
+        service = latency / self._scale(klass) / (1 + attempt.backlog) * self._warmth(upstream)
         self.mean_service += slow * (service - self.mean_service) if self.mean_service else service
         # in ratios, so that one very heavy request does not make an upstream look slow
         known = upstream.service or self.mean_service
@@ -507,7 +511,7 @@
             return False
         attempt = Attempt(request, upstream, self.now)
         attempt.expected = expected = self._scale(attempt.klass) * self._expected(upstream)
-        attempt.backlog = self._backlog(upstream)
+        attempt.backlog = self._backlog(upstream, REPORT_WEIGHT)
         request.out[attempt.number] = attempt
         upstream.out[(request.number, attempt.number)] = attempt
         request.sends += 1
