--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -53,7 +53,7 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-CALM = 0.6  # expected completion over aim up to which work costs nobody else anything
+CALM = 0.4  # expected completion over aim up to which work costs nobody else anything
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 CHANCE = 3.0  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
@@ -294,24 +294,23 @@
         size = (work or self._scale(request.arrival.klass)) if self.s.worth_by_work else 1.0
         return request.klass.worth * size / self.mean_worth if self.mean_worth else 1.0
 
-    def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
-        """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        here = self._chance(request, first)
-        there = max(self._chance(request, u) for u in away)
-        return (there - here) * self._value(request) > self.s.price_cross
-
-    def _hopeless(self, request: Request, first: Upstream) -> bool:
-        """Load shedding: the worth likely earned is below what the work would cost others.
+    def _net(self, request: Request, upstream: Upstream) -> float:
+        """Worth likely earned there less what the work costs others, in worths of a mean request.
 
         Work costs nothing while completion is expected well inside the aims, and as much as the
         densest class earns once it reaches them; so less worth per work is shed earlier.
         """
-        expected = self._expected(first) * self._bias()
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
-        cost = min(1.0, max(0.0, (expected / room - CALM) / (1 - CALM))) * max(map(self._density, classes))
-        klass = request.arrival.klass
-        return self._chance(request, first) * self._density(klass) < cost
+        fullness = self._expected(upstream) * self._bias() / room
+        cost = min(1.0, max(0.0, (fullness - CALM) / (1 - CALM))) * max(map(self._density, classes))
+        earned = self._chance(request, upstream)
+        return self._value(request) * (earned - cost / self._density(request.arrival.klass))
+
+    def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
+        """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
+        gained = max(self._net(request, u) for u in away) - self._net(request, first)
+        return gained > self.s.price_cross
 
     def _density(self, klass: int) -> float:
         worth = max(1e-9, self.s.classes[klass].worth)
@@ -339,7 +338,7 @@
         self._candidates(request)
         if request.first is None:
             self._hold(request)
-        elif self._hopeless(request, request.first):
+        elif self._net(request, request.first) < 0:  # load shedding
             self._end(request)
         else:
             self._send(request, request.first)
