--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -53,9 +53,10 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-CALM = 0.4  # expected completion over aim up to which work costs nobody else anything
+COST_CURVE = 1.5  # work costs others (expected completion / aim) ** this of what the densest class earns
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
-CHANCE = 3.0  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
+EVEN = 0.1  # share served within which classes count as equally badly served
+CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
 ASK_AGAIN = 1 * SECOND  # first wait before discovery is asked again; doubles to ask_every / 2
@@ -126,9 +127,12 @@
         self.bias, self.bias_at = 1.0, 0
         self.class_latency = [0.0] * len(settings.classes)
         self.mean_worth = 0.0
+        self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
+        self.served = [1.0] * len(settings.classes)
         self.mean_work = 0.0
         self.ask_wait = ASK_AGAIN
-        self.asked = False
+        self.watching = False
+        self.heard_at = self.timed_at = 0
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.actions = now, []
@@ -171,8 +175,8 @@
             for upstream in self.fleet.values():
                 if upstream.name not in listed:
                     upstream.gone = True
-        if self.s.must_ask and not self.asked:
-            self.asked = True
+        if self.s.must_ask and not self.watching:
+            self.watching = True
             self.actions.append(Watch(True))
 
     def _ask_later(self) -> None:
@@ -276,6 +280,10 @@
         home = self._ready(request, self.s.zone)
         away = [u for u in self._ready(request, None) if u.zone != self.s.zone]
         request.first = self._draw(home, False)
+        if request.first is not None and self._net(request, request.first) < 0:
+            # guards against refusing for one bad draw: drawn again among those worth the work
+            home = [u for u in home if self._net(request, u) >= 0] or home
+            request.first = self._draw(home, False)
         if away and (request.first is None or self._spill(request, request.first, away)):
             request.first = self._draw(away, True)
         rest = self._ready(request, None, [request.first] if request.first else [])
@@ -286,36 +294,50 @@
         """Chance that an attempt sent there now is answered without error within the aim."""
         left = request.klass.aim - (self.now - request.at)
         expected = self._scale(request.arrival.klass) * self._bias() * self._expected(upstream)
+        expected = self._faded(expected, self.heard_at, 0.0, FORGET_SPEED)
         return (1 - min(0.9, upstream.errors)) / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
 
     def _value(self, request: Request) -> float:
         """Worth of this request as a multiple of the mean request's."""
+        klass = request.arrival.klass
         work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
-        size = (work or self._scale(request.arrival.klass)) if self.s.worth_by_work else 1.0
-        return request.klass.worth * size / self.mean_worth if self.mean_worth else 1.0
+        heavier = work / self._scale(klass) if work and self.s.worth_by_work else 1.0
+        return self._class_worth(klass) * heavier
 
     def _net(self, request: Request, upstream: Upstream) -> float:
         """Worth likely earned there less what the work costs others, in worths of a mean request.
 
-        Work costs nothing while completion is expected well inside the aims, and as much as the
+        Work costs little while completion is expected well inside the aims, and as much as the
         densest class earns once it reaches them; so less worth per work is shed earlier.
         """
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
-        fullness = self._expected(upstream) * self._bias() / room
-        cost = min(1.0, max(0.0, (fullness - CALM) / (1 - CALM))) * max(map(self._density, classes))
-        earned = self._chance(request, upstream)
-        return self._value(request) * (earned - cost / self._density(request.arrival.klass))
+        # guards against refusing for ever: once nothing was heard for a while, nothing is known to be full
+        fullness = self._faded(
+            self._expected(upstream) * self._bias() / room, self.heard_at, 0.0, FORGET_SPEED
+        )
+        cost: float = min(1.0, fullness**COST_CURVE)
+        klass = request.arrival.klass
+        densest = max(self._class_worth(n) / self._scale(n) for n in classes)
+        size = self._value(request) / self._class_worth(klass) * self._scale(klass)
+        return self._chance(request, upstream) * self._value(request) - cost * densest * size
+
+    def _class_worth(self, klass: int) -> float:
+        """Mean worth of a class's request; more while it is the worst served and the goal counts that."""
+        size = self._scale(klass) if self.s.worth_by_work else 1.0
+        worth = max(1e-9, self.s.classes[klass].worth) * size / (self.mean_worth or 1.0)
+        if not 0 < self.s.weight_class < 1:
+            return worth
+        focus = [math.exp((min(self.served) - share) / EVEN) for share in self.served]
+        return worth + self.s.weight_class / (1 - self.s.weight_class) * focus[klass] / sum(focus) / max(
+            0.01, self.asked[klass]
+        )
 
     def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
         gained = max(self._net(request, u) for u in away) - self._net(request, first)
         return gained > self.s.price_cross
 
-    def _density(self, klass: int) -> float:
-        worth = max(1e-9, self.s.classes[klass].worth)
-        return worth if self.s.worth_by_work else worth / self._scale(klass)
-
     def _observe(self, arrival: Arrival) -> None:
         work = float(arrival.work)
         if work > 0:
@@ -332,6 +354,8 @@
         self.requests[request.number] = request
         self.budget = min(BUDGET_BURST, self.budget + BUDGET_SHARE)
         self._observe(arrival)
+        for n in range(len(self.asked)):
+            self.asked[n] += SMOOTH / 8 * ((n == arrival.klass) - self.asked[n])
         self._start(request)
 
     def _start(self, request: Request) -> None:
@@ -408,7 +432,7 @@
         if request is None:
             return
         if event.over:
-            self._close(request)
+            self._close(request, event.outcome is Outcome.OK)
             return
         if attempt is None:
             return
@@ -433,7 +457,7 @@
         if outcome is Outcome.TIMEOUT and upstream.heard_at > attempt.sent:
             return  # slow, not silent: the latency counts it; overload must not look like failure
         if outcome is not Outcome.TIMEOUT:
-            upstream.heard_at = self.now
+            upstream.heard_at = self.heard_at = self.now
         upstream.errors += SMOOTH * ((not good and outcome is not Outcome.FULL) - upstream.errors)
         if good:
             # guards against a flaky upstream let in by one lucky answer: the share must fall first
@@ -449,7 +473,11 @@
 
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
-        upstream, klass, slow = attempt.upstream, attempt.klass, SMOOTH / 4
+        upstream, klass = attempt.upstream, attempt.klass
+        # after a silence the first news counts almost alone, so that an old jam is soon forgotten
+        slow = max(SMOOTH / 4, 1 - self._faded(1.0, self.timed_at or self.now, 0.0, FORGET_SPEED))
+        fast = max(SMOOTH / 2, 1 - self._faded(1.0, upstream.service_at or self.now, 0.0, FORGET_SPEED))
+        self.timed_at = self.now
         mean = self.class_latency[klass]
         self.class_latency[klass] += slow * (latency - mean) if mean else latency
         self.mean_latency += slow * (latency - self.mean_latency) if self.mean_latency else latency
@@ -457,7 +485,7 @@
         self.mean_service += slow * (service - self.mean_service) if self.mean_service else service
         # in ratios, so that one very heavy request does not make an upstream look slow
         known = upstream.service or self.mean_service
-        upstream.service = known * (max(service, 1.0) / known) ** (SMOOTH / 2)
+        upstream.service = known * (max(service, 1.0) / known) ** fast
         upstream.service_at = self.now
         if attempt.expected:
             # guards against refusing on a model that errs: scaled by what sends really took
@@ -534,9 +562,12 @@
             self.actions.append(Fail(request.number))
         self._close(request)
 
-    def _close(self, request: Request) -> None:
+    def _close(self, request: Request, answered: bool = False) -> None:
         """The request is over: nothing more goes out for it, copies still out are called off."""
         del self.requests[request.number]
+        klass = request.arrival.klass
+        good = answered and self.now - request.at <= request.klass.aim
+        self.served[klass] += SMOOTH / 8 * (good - self.served[klass])
         for number, attempt in request.out.items():
             self.orphans[(request.number, number)] = attempt
             if self.s.may_cancel and not request.began:
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,346 @@
+"""Each failure found, and each promise of the design, as a small drive of the module."""
+
+from collections import Counter
+
+import pytest
+
+from linetrack.interface import (
+    Cancel,
+    ClientLeft,
+    Ended,
+    Entry,
+    Fail,
+    FleetNews,
+    Health,
+    ListForm,
+    Load,
+    Outcome,
+    Refuse,
+    SetTimer,
+    TimerDue,
+    Watch,
+)
+from tests.helpers import CELL, KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
+
+
+def shares(driver: Driver, count: int = 300) -> Counter[str]:
+    return Counter(driver.serve() for _ in range(count))
+
+
+def test_first_pick_stays_in_the_own_zone_and_removes_none() -> None:
+    got = shares(Driver())
+    assert set(got) == {"h0", "h1", "h2", "h3"}
+    assert min(got.values()) > 30
+
+
+def test_odds_are_one_over_penalty() -> None:
+    driver = Driver()
+    for _ in range(40):
+        driver.serve()
+    balancer = driver.balancer
+    home = [u for u in balancer.fleet.values() if u.zone == 0]
+    odds = [1 / p for p in balancer._penalties(home, False)]
+    drawn = Counter(u.name for u in (balancer._draw(home, False) for _ in range(4000)) if u)
+    for upstream, weight in zip(home, odds, strict=True):
+        assert drawn[upstream.name] / 4000 == pytest.approx(weight / sum(odds), abs=0.04)
+
+
+def test_same_events_same_actions() -> None:
+    one, two = Driver(seed=9), Driver(seed=9)
+    for _ in range(50):
+        assert one.ask()[1] == two.ask()[1]
+
+
+def test_slower_upstream_gets_less() -> None:
+    driver = Driver()
+    got: Counter[str] = Counter()
+    for _ in range(300):
+        request, actions = driver.ask()
+        upstream = sends(actions)[0]
+        got[upstream] += 1
+        driver.end(request, upstream, latency=200 * MS if upstream == "h1" else 40 * MS)
+    assert 0 < got["h1"] < min(got[n] for n in ("h0", "h2", "h3")) / 2
+
+
+def test_reported_queue_moves_the_odds() -> None:
+    driver = Driver()
+    for _ in range(30):
+        driver.serve()
+    for name in ("h0", "h1", "h2", "h3"):
+        record = driver.balancer.fleet[name]
+        driver.balancer._report(record, (30.0 if name == "h2" else 0.0,))
+    home = [u for u in driver.balancer.fleet.values() if u.zone == 0]
+    penalties = {u.name: p for u, p in zip(home, driver.balancer._penalties(home, False), strict=True)}
+    assert penalties["h2"] == max(penalties.values())
+
+
+@pytest.mark.parametrize("report", [(), (float("nan"),), (-3.0,), (float("inf"),), (1.0, 2.0, 3.0)])
+def test_absurd_reports_do_no_harm(report: tuple[float, ...]) -> None:
+    driver = Driver()
+    for _ in range(30):
+        driver.serve(report=report)
+    assert sends(driver.ask()[1])
+
+
+@pytest.mark.parametrize("field", list(Load))
+def test_any_reported_field_serves(field: Load) -> None:
+    driver = Driver(report_fields=(field,))
+    for _ in range(30):
+        driver.serve(report=(0.5,))
+    assert sends(driver.ask()[1])
+
+
+def test_fast_failing_upstream_does_not_attract_traffic() -> None:
+    driver = Driver()
+    met = 0
+    for _ in range(200):
+        request, actions = driver.ask()
+        attempt = 0
+        while upstreams := sends(actions):
+            bad = upstreams[0] == "h0"
+            met += bad
+            outcome = Outcome.ERROR if bad else Outcome.OK
+            actions = driver.end(request, upstreams[0], outcome, 2 * MS if bad else 40 * MS, attempt)
+            attempt += 1
+    assert met < 25
+
+
+def test_hung_upstream_loses_its_low_penalty() -> None:
+    driver = Driver()
+    for _ in range(60):
+        driver.serve()
+    got: Counter[str] = Counter()
+    for _ in range(100):
+        request, actions = driver.ask(after=20 * MS)
+        upstream = sends(actions)[0]
+        got[upstream] += 1
+        if upstream != "h3":
+            driver.end(request, upstream)
+    assert got["h3"] <= 6
+
+
+def test_all_upstreams_in_a_spell_still_serve() -> None:
+    driver = Driver(entries=fleet(3, 0))
+    for _ in range(12):
+        request, actions = driver.ask()
+        attempt = 0
+        while upstreams := sends(actions):
+            actions = driver.end(request, upstreams[0], Outcome.CONNECT_FAILED, MS, attempt)
+            attempt += 1
+    assert sends(driver.ask()[1])
+
+
+def test_copy_goes_to_the_second_candidate_after_the_timer() -> None:
+    driver = Driver()
+    for _ in range(60):
+        driver.serve()
+    request, actions = driver.ask()
+    timers = [a for a in actions if isinstance(a, SetTimer)]
+    assert timers and timers[0].token == f"copy:{request}"
+    second = driver.balancer.requests[request].second
+    copies = sends(driver.feed(TimerDue(timers[0].token), timers[0].after))
+    assert second is not None and copies == [second.name]
+
+
+def test_unsafe_is_never_copied_and_fails_after_a_time_out() -> None:
+    driver = Driver()
+    for _ in range(30):
+        driver.serve()
+    request, actions = driver.ask(UNSAFE)
+    assert not [a for a in actions if isinstance(a, SetTimer)]
+    assert driver.feed(TimerDue(f"copy:{request}"), SECOND) == []
+    assert driver.end(request, sends(actions)[0], Outcome.TIMEOUT) == [Fail(request)]
+
+
+def test_unsafe_moves_on_after_proof_that_it_never_ran() -> None:
+    driver = Driver()
+    request, actions = driver.ask(UNSAFE)
+    assert sends(driver.end(request, sends(actions)[0], Outcome.FULL, MS))
+
+
+@pytest.mark.parametrize(("klass", "outside"), [(KEYED, "zone"), (CELL, "cell"), (KEYED_ALL, "")])
+def test_keyed_stays_in_its_group_and_window(klass: int, outside: str) -> None:
+    for seed in range(20):
+        driver = Driver(seed=seed)
+        request, actions = driver.ask(klass)
+        first = driver.balancer.fleet[sends(actions)[0]]
+        for name in sends(driver.end(request, first.name, Outcome.RESET, MS)):
+            record = driver.balancer.fleet[name]
+            assert outside != "zone" or record.zone == first.zone
+            assert outside != "cell" or (record.zone, record.cell) == (first.zone, first.cell)
+        driver = Driver(seed=seed)
+        request, actions = driver.ask(klass)
+        assert not sends(driver.end(request, sends(actions)[0], Outcome.RESET, SECOND))
+
+
+def test_never_two_at_once_where_not_allowed() -> None:
+    driver = Driver(parallel=False)
+    for _ in range(30):
+        driver.serve()
+    request, _ = driver.ask()
+    assert sends(driver.feed(TimerDue(f"copy:{request}"), SECOND)) == []
+
+
+def test_attempts_never_pass_the_allowed_number() -> None:
+    driver = Driver(max_attempts=2)
+    request, actions = driver.ask()
+    tries = 0
+    while upstreams := sends(actions):
+        actions = driver.end(request, upstreams[0], Outcome.FULL, MS, tries)
+        tries += 1
+    assert tries == 2
+    assert isinstance(actions[0], Refuse)
+
+
+def test_drained_and_missing_upstreams_get_nothing() -> None:
+    driver = Driver()
+    driver.feed(FleetNews(ListForm.CHANGES, (Entry("h0", health=Health.DRAINING),)))
+    driver.feed(FleetNews(ListForm.CHANGES, (Entry("h1", health=Health.GONE),)))
+    assert not set(shares(driver, 100)) & {"h0", "h1"}
+    driver.feed(FleetNews(ListForm.WHOLE, fleet(3, 0)[2:]))
+    assert set(shares(driver, 50)) == {"h2"}
+
+
+def test_empty_list_is_answered_promptly() -> None:
+    driver = Driver(entries=())
+    request, actions = driver.ask()
+    waited = 0
+    while timers := [a for a in actions if isinstance(a, SetTimer)]:
+        waited += timers[0].after
+        actions = driver.feed(TimerDue(timers[0].token), timers[0].after)
+    assert actions == [Refuse(request, 500 * MS)]
+    assert waited <= 250 * MS
+
+
+def test_held_request_is_sent_once_an_upstream_appears() -> None:
+    driver = Driver(entries=())
+    request, actions = driver.ask()
+    driver.feed(FleetNews(ListForm.CHANGES, fleet(1, 0)))
+    assert sends(driver.feed(TimerDue(f"hold:{request}"), 20 * MS)) == ["h0"]
+    assert actions and isinstance(actions[0], SetTimer)
+
+
+@pytest.mark.parametrize("instances", [1, 3, 9])
+def test_cold_upstream_is_not_pushed_over_by_all_instances_alike(instances: int) -> None:
+    start, service = 1000 * SECOND, 50 * MS
+    drivers = []
+    for n in range(instances):
+        driver = Driver(seed=n, instance=n, instances=instances, entries=fleet(2, 0))
+        for _ in range(20):
+            driver.serve(latency=service)
+        driver.now = start + 10 * SECOND
+        driver.feed(FleetNews(ListForm.WHOLE, (Entry("cold", started=driver.now),)))
+        drivers.append(driver)
+    sent: list[int] = []
+    for step in range(1000):
+        for driver in drivers:
+            driver.now = start + 10 * SECOND + step * 10 * MS
+            request, actions = driver.ask()
+            if sends(actions):
+                sent.append(driver.now)
+                driver.feed(Ended(request, 0, "cold", Outcome.OK, service, True))
+    assert sent
+    for at in sent:
+        share = 0.2 + 0.8 * (at - start - 10 * SECOND) / (10 * SECOND)
+        work = service * sum(1 for t in sent if at <= t < at + SECOND)
+        assert work <= 3.0 * share * SECOND
+
+
+def test_restarted_upstream_is_cold_again_and_forgets() -> None:
+    driver = Driver(entries=fleet(2, 0))
+    for _ in range(20):
+        driver.serve()
+    driver.feed(FleetNews(ListForm.CHANGES, (Entry("h0", started=driver.now),)))
+    record = driver.balancer.fleet["h0"]
+    assert record.service == 0
+    assert driver.balancer._warmth(record) == pytest.approx(0.2)
+
+
+def test_discovery_is_asked_and_asked_again_with_back_off() -> None:
+    driver = Driver(must_ask=True, ask_every=8 * SECOND, entries=())
+    waits = []
+    for _ in range(5):
+        timers = driver.feed(FleetNews(ListForm.REFUSED))
+        assert isinstance(timers[0], SetTimer)
+        waits.append(timers[0].after)
+        assert driver.feed(TimerDue("ask"), timers[0].after) == [Watch(True)]
+    assert waits == sorted(waits) and waits[-1] == 4 * SECOND
+
+
+def test_losing_copy_is_called_off_only_where_allowed() -> None:
+    for allowed in (True, False):
+        driver = Driver(may_cancel=allowed)
+        for _ in range(60):
+            driver.serve()
+        request, actions = driver.ask()
+        driver.feed(TimerDue(f"copy:{request}"), 200 * MS)
+        actions = driver.end(request, sends(actions)[0])
+        assert actions == ([Cancel(request, 1)] if allowed else [])
+
+
+def test_late_and_unknown_events_are_ignored() -> None:
+    driver = Driver()
+    request, actions = driver.ask()
+    upstream = sends(actions)[0]
+    driver.end(request, upstream)
+    assert driver.end(request, upstream) == []
+    assert driver.end(999, "nowhere", Outcome.ERROR) == []
+    assert driver.feed(ClientLeft(request)) == driver.feed(ClientLeft(777)) == []
+    assert driver.feed(TimerDue("copy:1")) == driver.feed(TimerDue("nonsense")) == []
+
+
+def test_zone_without_upstreams_is_served_from_the_other() -> None:
+    driver = Driver(entries=fleet(0, 3))
+    assert sends(driver.ask()[1])[0].startswith("a")
+
+
+def test_overload_is_refused_at_once_and_refusing_does_not_last() -> None:
+    """Refusals gave no outcomes, so an estimate that refused everything never went away."""
+    driver = Driver(entries=fleet(2, 0))
+    refused = 0
+    for _ in range(90):
+        request, actions = driver.ask()
+        refused += any(isinstance(a, Refuse) for a in actions)
+        for upstream in sends(actions):
+            driver.end(request, upstream, latency=900 * MS)
+    assert refused > 10
+    driver.now += 60 * SECOND
+    for _ in range(60):
+        request, actions = driver.ask(after=100 * MS)
+        for upstream in sends(actions):
+            driver.end(request, upstream, latency=30 * MS)
+    assert sends(driver.ask()[1])
+
+
+def test_spillover_only_where_worth_exceeds_the_price() -> None:
+    for price in (0.1, 50.0):
+        driver = Driver(price_cross=price)
+        for _ in range(40):
+            driver.serve(latency=60 * MS)
+        went = {name[0] for _ in range(60) for name in sends(driver.ask(SAFE)[1])}
+        assert went == ({"h", "a"} if price < 1 else {"h"})
+
+
+def test_sick_own_zone_spills_over() -> None:
+    """Errors count into the chance that prices spillover."""
+    driver = Driver(entries=fleet(1, 3))
+    for _ in range(40):
+        request, actions = driver.ask()
+        attempt = 0
+        while upstreams := sends(actions):
+            bad = upstreams[0] == "h0"
+            outcome = Outcome.ERROR if bad else Outcome.OK
+            actions = driver.end(request, upstreams[0], outcome, 30 * MS, attempt)
+            attempt += 1
+    assert sends(driver.ask()[1])[0].startswith("a")
+
+
+def test_time_out_under_load_is_not_taken_for_failure() -> None:
+    """An upstream heard from since the send is slow, not silent."""
+    driver = Driver(entries=fleet(1, 0))
+    one, actions = driver.ask()
+    two, _ = driver.ask()
+    driver.end(two, "h0", latency=900 * MS)
+    driver.end(one, "h0", Outcome.TIMEOUT, 100 * MS)
+    assert driver.balancer.fleet["h0"].errors == 0
+    assert sends(actions) == ["h0"]
