--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -473,7 +473,8 @@
 
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
-        upstream, klass = attempt.upstream, attempt.klass
+        # guards against a clock too coarse to tell: an answer in no time still takes some
+        latency, upstream, klass = max(1, latency), attempt.upstream, attempt.klass
         # after a silence the first news counts almost alone, so that an old jam is soon forgotten
         slow = max(SMOOTH / 4, 1 - self._faded(1.0, self.timed_at or self.now, 0.0, FORGET_SPEED))
         fast = max(SMOOTH / 2, 1 - self._faded(1.0, upstream.service_at or self.now, 0.0, FORGET_SPEED))
@@ -481,11 +482,11 @@
         mean = self.class_latency[klass]
         self.class_latency[klass] += slow * (latency - mean) if mean else latency
         self.mean_latency += slow * (latency - self.mean_latency) if self.mean_latency else latency
-        service = latency / self._scale(klass) / (1 + attempt.backlog) * self._warmth(upstream)
+        service = max(1.0, latency / self._scale(klass) / (1 + attempt.backlog) * self._warmth(upstream))
         self.mean_service += slow * (service - self.mean_service) if self.mean_service else service
         # in ratios, so that one very heavy request does not make an upstream look slow
         known = upstream.service or self.mean_service
-        upstream.service = known * (max(service, 1.0) / known) ** fast
+        upstream.service = known * (service / known) ** fast
         upstream.service_at = self.now
         if attempt.expected:
             # guards against refusing on a model that errs: scaled by what sends really took
--- /dev/null
+++ b/tests/test_four_rules.py
@@ -0,0 +1,200 @@
+"""Arbitrary legal event orders against an independent checker of the four rules."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import HealthCheck, given, settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from linetrack.interface import (
+    NEVER_RAN,
+    Action,
+    Arrival,
+    Cancel,
+    ClientLeft,
+    Effect,
+    Ended,
+    Entry,
+    Event,
+    Fail,
+    FleetNews,
+    Group,
+    Health,
+    ListForm,
+    Outcome,
+    Refuse,
+    Send,
+    SetTimer,
+    TimerDue,
+)
+from linetrack.rules import Balancer
+from tests import helpers
+from tests.helpers import CLASSES, MS, SECOND
+
+SLACK = 20 * MS
+NAMES = [f"u{n}" for n in range(6)]
+FAILURES = [o for o in Outcome if o is not Outcome.OK]
+
+
+class Asked:
+    """What the checker knows of one request."""
+
+    def __init__(self, klass: int, until: int) -> None:
+        self.klass, self.until = CLASSES[klass], until
+        self.sent: list[tuple[str, int]] = []
+        self.out: set[int] = set()
+        self.maybe: list[int] = []
+        self.over = False
+
+
+class FourRules(RuleBasedStateMachine):
+    """Plays the world; every action is judged from outside, by the wording of the rules alone."""
+
+    @initialize(parallel=strategies.booleans(), seed=strategies.integers(0, 99))
+    def start(self, parallel: bool, seed: int) -> None:
+        self.settings = helpers.settings(parallel=parallel, warm_up=0)
+        self.balancer = Balancer(self.settings, seed)
+        self.now = 1000 * SECOND
+        self.asked: dict[int, Asked] = {}
+        self.timers: list[tuple[int, str]] = []
+        self.told_gone: dict[str, int] = {}
+        self.places = {n: Entry(n, zone=k % 2, cell=k // 2) for k, n in enumerate(NAMES)}
+        self.play(FleetNews(ListForm.REMEMBERED, tuple(self.places.values())))
+
+    def play(self, event: Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            self.judge(action)
+
+    def judge(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.timers.append((self.now + action.after, action.token))
+        elif isinstance(action, Send):
+            self.judge_send(self.asked[action.request], action)
+        elif isinstance(action, Refuse | Fail):
+            one = self.asked[action.request]
+            assert not one.over, "a second final answer"
+            assert self.now <= one.until + SLACK, "answered too late"
+            maybe = bool(one.out or one.maybe)
+            if isinstance(action, Refuse) and maybe:
+                assert one.klass.effect is not Effect.UNSAFE
+                assert one.klass.effect is Effect.SAFE or one.klass.group is Group.ALL
+            one.over = True
+        elif isinstance(action, Cancel):
+            assert action.attempt < len(self.asked[action.request].sent)
+
+    def judge_send(self, one: Asked, action: Send) -> None:
+        assert not one.over, "sent after the end"
+        assert action.upstream not in self.told_gone, "sent to one told as draining or gone"
+        assert len(one.sent) < self.settings.max_attempts
+        assert self.settings.parallel or not one.out, "two at once"
+        before = sorted(one.out | set(one.maybe))
+        if before and one.klass.effect is Effect.UNSAFE:
+            raise AssertionError("an unsafe request sent again")
+        if before and one.klass.effect is Effect.KEYED:
+            upstream, at = one.sent[before[0]]
+            here, there = self.places[upstream], self.places[action.upstream]
+            assert self.now < at + one.klass.window, "outside the window"
+            assert one.klass.group is not Group.ZONE or here.zone == there.zone
+            assert one.klass.group is not Group.CELL or (here.zone, here.cell) == (there.zone, there.cell)
+        one.out.add(len(one.sent))
+        one.sent.append((action.upstream, self.now))
+
+    @rule(klass=strategies.integers(0, len(CLASSES) - 1), patience=strategies.integers(50 * MS, 2 * SECOND))
+    def request(self, klass: int, patience: int) -> None:
+        number = len(self.asked)
+        self.asked[number] = Asked(klass, self.now + patience)
+        self.play(Arrival(number, klass, patience))
+
+    @rule(pick=strategies.randoms(use_true_random=False), outcome=strategies.sampled_from(list(Outcome)))
+    def outcome(self, pick: object, outcome: Outcome) -> None:
+        out = [(n, a) for n, one in self.asked.items() for a in sorted(one.out)]
+        if out:
+            number, attempt = pick.choice(out)  # type: ignore[attr-defined]
+            self.finish(number, attempt, outcome)
+
+    def finish(self, number: int, attempt: int, outcome: Outcome) -> None:
+        one = self.asked[number]
+        one.out.discard(attempt)
+        if outcome not in NEVER_RAN:
+            one.maybe.append(attempt)
+        upstream, at = one.sent[attempt]
+        if outcome is Outcome.OK:
+            one.over = True
+        self.play(Ended(number, attempt, upstream, outcome, self.now - at, one.over, (1.0,)))
+
+    @rule(step=strategies.integers(MS, 300 * MS))
+    def time_passes(self, step: int) -> None:
+        """Timers come as asked; attempts of a request time out at its deadline."""
+        target = self.now + step
+        while True:
+            due = min(self.timers, default=(target + 1, ""))
+            ends = [(o.until, n) for n, o in self.asked.items() if o.out and not o.over]
+            end = min(ends, default=(target + 1, 0))
+            if min(due[0], end[0]) > target:
+                break
+            if due[0] <= end[0]:
+                self.timers.remove(due)
+                self.now = max(self.now, due[0])
+                self.play(TimerDue(due[1]))
+            else:
+                self.now = max(self.now, end[0])
+                for attempt in sorted(self.asked[end[1]].out):
+                    self.finish(end[1], attempt, Outcome.TIMEOUT)
+        self.now = target
+
+    @rule(name=strategies.sampled_from(NAMES), health=strategies.sampled_from(list(Health)))
+    def news(self, name: str, health: Health) -> None:
+        self.tell(name, health)
+        self.play(FleetNews(ListForm.CHANGES, (replace(self.places[name], health=health),)))
+
+    def tell(self, name: str, health: Health) -> None:
+        if health is Health.UP:
+            self.told_gone.pop(name, None)
+        else:
+            self.told_gone[name] = self.now
+
+    @rule(listed=strategies.sets(strategies.sampled_from(NAMES)))
+    def whole_list(self, listed: set[str]) -> None:
+        for name in NAMES:
+            self.tell(name, Health.UP if name in listed else Health.GONE)
+        self.play(FleetNews(ListForm.WHOLE, tuple(self.places[n] for n in NAMES if n in listed)))
+
+    @precondition(lambda self: any(not one.over for one in self.asked.values()))
+    @rule()
+    def client_leaves(self) -> None:
+        number = next(n for n, one in self.asked.items() if not one.over)
+        self.asked[number].over = True
+        self.play(ClientLeft(number))
+
+    @invariant()
+    def none_is_lost(self) -> None:
+        for one in getattr(self, "asked", {}).values():
+            assert one.over or self.now <= one.until + SLACK, "a request without its answer"
+
+
+TestFourRules = FourRules.TestCase
+TestFourRules.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@settings(max_examples=40, deadline=None, derandomize=True, database=None)
+@given(outcomes=strategies.lists(strategies.sampled_from(FAILURES), min_size=8, max_size=8))
+def test_any_run_of_failures_ends_once(outcomes: list[Outcome]) -> None:
+    for klass in range(len(CLASSES)):
+        driver = helpers.Driver()
+        request, actions = driver.ask(klass)
+        finals = 0
+        for attempt, outcome in enumerate(outcomes):
+            finals += sum(isinstance(a, Refuse | Fail) for a in actions)
+            upstreams = helpers.sends(actions)
+            if not upstreams:
+                break
+            actions = driver.end(request, upstreams[0], outcome, MS, attempt)
+        assert finals == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -344,3 +344,11 @@
     driver.end(one, "h0", Outcome.TIMEOUT, 100 * MS)
     assert driver.balancer.fleet["h0"].errors == 0
     assert sends(actions) == ["h0"]
+
+
+def test_answer_in_no_time_is_taken_in() -> None:
+    """A latency of zero microseconds once divided by zero."""
+    driver = Driver()
+    for _ in range(20):
+        driver.serve(latency=0)
+    assert sends(driver.ask()[1])
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,238 @@
+"""The wire: round trips, a hand-written conversation, bad input, and the adapter as a process."""
+
+import io
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from linetrack import interface as i
+from linetrack.simhost import wire
+from linetrack.simhost.host import Host
+from linetrack.simhost.settings import read_settings
+from linetrack.simhost.wire import WireError
+
+ROOT = Path(__file__).parent.parent
+BOOT = (
+    "allowed.mayCancel=true allowed.maxAttempts=3 allowed.parallelTries=true allowed.retryAfter=true "
+    "allowed.maxRetryAfterUs=1000000 azs=north,south balancers=2 classes.count=2 classes.0.aimUs=300000 "
+    "classes.0.deadlineUs=900000 classes.0.repeat=free classes.0.worth=2.0 classes.1.aimUs=300000 "
+    "classes.1.deadlineUs=900000 classes.1.repeat=single_shot me=0 registryMode=subscribe "
+    "rules.askEveryUs=9000000 stats.fields=depth,tps stats.how=inline zone=0 something.new=1"
+)
+
+
+def enlist(number: int = 0, seed: int = 7) -> str:
+    return f"ENLIST i=sidecar/{number} entropy={seed} {BOOT}"
+
+
+CONVERSATION = [
+    "TICK clockUs=0",
+    "YOUR_TURN",
+    "TICK clockUs=5000000",
+    enlist(),
+    "INVENTORY slot=0 lines=2",
+    "M upstream=u:1 rackZone=0 classOfHost=0 pod=0 health=U size=1 unknown=x",
+    "M upstream=u:2 rackZone=1 classOfHost=0 pod=9 health=L size=1.5 bootTimeUs=4000000",
+    "MEMBERSHIP i=sidecar/0 index=1 form=remembered slot=0",
+    "REQ i=sidecar/0 ref=11 kind=0 targetKey=k:a patienceLeftUs=900000",
+    "YOUR_TURN",
+    "TICK clockUs=5040000",
+    "FINISHED i=sidecar/0 ref=11 trial=0 upstream=u:1 how=done rttUs=40000 final=1 pressure=2,oops",
+    "REQ i=sidecar/0 ref=12 kind=1 patienceLeftUs=900000",
+    "YOUR_TURN",
+    "TICK clockUs=5900000",
+    "FINISHED i=sidecar/0 ref=12 trial=0 upstream=u:1 how=etimedout rttUs=860000",
+    "YOUR_TURN",
+]
+
+
+def talk(lines: list[str]) -> tuple[int, str]:
+    out = io.StringIO()
+    status = Host(io.StringIO("\n".join(lines) + "\n" if lines else ""), out).run()
+    return status, out.getvalue()
+
+
+def test_hand_written_conversation() -> None:
+    status, reply = talk(CONVERSATION)
+    assert status == 0
+    assert reply.split("END\n") == [
+        "",
+        "FOLLOW i=sidecar/0 want=1\nSUBMIT_TO i=sidecar/0 ref=11 upstream=u:1\n",
+        "SUBMIT_TO i=sidecar/0 ref=12 upstream=u:1\n",
+        "GIVE_UP i=sidecar/0 ref=12\n",
+        "",
+    ]
+
+
+def test_exit_and_enlist_in_one_batch_start_afresh() -> None:
+    status, reply = talk(
+        [
+            *CONVERSATION[:10],
+            "TICK clockUs=6000000",
+            "EXIT i=sidecar/0",
+            enlist(seed=8),
+            "INVENTORY slot=0 lines=1",
+            "M upstream=u:9 rackZone=0",
+            "MEMBERSHIP i=sidecar/0 index=2 form=remembered slot=0",
+            "REQ i=sidecar/0 ref=13 kind=0 patienceLeftUs=900000",
+            "YOUR_TURN",
+        ]
+    )
+    assert status == 0
+    assert reply.endswith("FOLLOW i=sidecar/0 want=1\nSUBMIT_TO i=sidecar/0 ref=13 upstream=u:9\nEND\n")
+
+
+def test_list_slot_used_again_within_a_batch() -> None:
+    lines = ["TICK clockUs=1", enlist(0), enlist(1)]
+    for number in (0, 1):
+        lines += ["INVENTORY slot=3 lines=1", f"M upstream=only:{number}"]
+        lines += [f"MEMBERSHIP i=sidecar/{number} index=1 form=all slot=3"]
+    lines += [f"REQ i=sidecar/{n} ref={n} kind=0 patienceLeftUs=900000" for n in (0, 1)]
+    _, reply = talk([*lines, "YOUR_TURN"])
+    assert "ref=0 upstream=only:0" in reply and "ref=1 upstream=only:1" in reply
+
+
+@pytest.mark.parametrize(
+    ("lines", "said"),
+    [
+        (["HELLO x=1"], "TICK"),
+        (["TICK clockUs=x"], "clockUs"),
+        (["TICK clockUs=1"], "inside a batch"),
+        (["TICK clockUs=1", "REQ i=sidecar/4 ref=1", "YOUR_TURN"], "not enlisted"),
+        (["TICK clockUs=1", enlist(), "REQ i=sidecar/0 ref=1", "YOUR_TURN"], "'kind' is missing"),
+        (["TICK clockUs=1", enlist(), "NEWS i=sidecar/0", "YOUR_TURN"], "no known message"),
+        (["TICK clockUs=1", "ENLIST i=sidecar/0 entropy=1", "YOUR_TURN"], "classes.count"),
+        (["TICK clockUs=1", "INVENTORY slot=0 lines=1", "YOUR_TURN"], "starts with M"),
+        (["TICK clockUs=1", enlist(), "MEMBERSHIP i=sidecar/0 form=all slot=5", "YOUR_TURN"], "slot=5"),
+        (["TICK clockUs=1", enlist(), "MEMBERSHIP i=sidecar/0 form=odd", "YOUR_TURN"], "form='odd'"),
+    ],
+)
+def test_unreadable_input_says_what_and_where(
+    lines: list[str], said: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    status, _ = talk(lines)
+    error = capsys.readouterr().err
+    assert status != 0
+    assert said in error and "line " in error and "Traceback" not in error
+
+
+def test_exception_in_the_module_is_told_on_the_wire(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def broken(*_: object) -> None:
+        raise IndexError("out of range")
+
+    monkeypatch.setattr("linetrack.rules.Balancer.handle", broken)
+    _, reply = talk(CONVERSATION[:10])
+    assert "GIVE_IN i=sidecar/0 what=IndexError: out of range\n" in reply
+    assert "Traceback" in capsys.readouterr().err
+
+
+ACTIONS: list[tuple[i.Action, str]] = [
+    (i.Send(1, "u:1", 9), "SUBMIT_TO i=s ref=1 upstream=u:1 withinUs=9"),
+    (i.Cancel(1, 2), "UNDO_SEND i=s ref=1 trial=2"),
+    (i.Refuse(1, 5), "OVERLOAD_REPLY i=s ref=1 backoffUs=5"),
+    (i.Refuse(1), "OVERLOAD_REPLY i=s ref=1"),
+    (i.Fail(1), "GIVE_UP i=s ref=1"),
+    (i.SetTimer(4, "t"), "REMIND i=s offsetUs=4 nonce=t"),
+    (i.Watch(False), "FOLLOW i=s want=0"),
+    (i.FetchList(), "FETCH i=s"),
+    (i.Probe("u:1"), "PROBE i=s upstream=u:1"),
+    (i.CloseIdle("u:1"), "DROP_CONNS i=s upstream=u:1"),
+    (i.Tell(-1, b"hi g7"), "WRITE_PEER i=s dst=-1 body=aGkgZzc="),
+    (i.Tell(2), "WRITE_PEER i=s dst=2 body=-"),
+    (i.Note("two\nlines"), "NOTE_DOWN i=s what=two lines"),
+]
+
+
+@pytest.mark.parametrize(("action", "line"), ACTIONS)
+def test_every_action_has_its_line(action: i.Action, line: str) -> None:
+    assert wire.format_action("s", action) == line
+
+
+EVENTS: list[tuple[str, i.Event]] = [
+    (
+        "REQ ref=1 kind=0 party=2 targetKey=k:x patienceLeftUs=5 workUs=7 repeat=1 update=1",
+        i.Arrival(1, 0, 5, 2, "k:x", 7, True, True),
+    ),
+    ("ESTABLISHED ref=1 trial=0 upstream=u:1 rttUs=9", i.Begun(1, 0, "u:1", 9)),
+    (
+        "FINISHED ref=1 trial=1 upstream=u:1 how=busy rttUs=3 pressure=1.5,2",
+        i.Ended(1, 1, "u:1", i.Outcome.FULL, 3, False, (1.5, 2.0)),
+    ),
+    ("CLIENT_LEFT ref=1", i.ClientLeft(1)),
+    ("ALARM nonce=a:1", i.TimerDue("a:1")),
+    ("CHECKED upstream=u:1 rttUs=4 how=done", i.ProbeEnded("u:1", i.Outcome.OK, 4)),
+    ("MEMO originPeer=2 body=aGkgZzc=", i.PeerMessage(2, b"hi g7")),
+]
+
+
+@pytest.mark.parametrize(("line", "event"), EVENTS)
+def test_every_event_is_read(line: str, event: i.Event) -> None:
+    name, fields = wire.split(line)
+    assert wire.EVENTS[name](fields) == event
+
+
+@pytest.mark.parametrize(("word", "outcome"), wire.OUTCOMES.items())
+def test_every_outcome_is_read(word: str, outcome: i.Outcome) -> None:
+    _, fields = wire.split(f"FINISHED ref=1 trial=0 upstream=u:1 rttUs=1 how={word}")
+    ended = wire.EVENTS["FINISHED"](fields)
+    assert isinstance(ended, i.Ended) and ended.outcome is outcome
+
+
+@pytest.mark.parametrize("line", ["MEMO originPeer=1 body=%%%", "FINISHED ref=1 trial=0 upstream=u how=odd"])
+def test_bad_fields_are_faults(line: str) -> None:
+    name, fields = wire.split(line)
+    with pytest.raises(WireError):
+        wire.EVENTS[name](fields)
+
+
+def test_settings_are_read_and_unknown_ones_passed_over() -> None:
+    _, pairs = wire.split("X " + BOOT)
+    settings = read_settings(pairs)
+    assert settings.must_ask and settings.parallel and settings.zones == 2
+    assert settings.report_fields == (i.Load.QUEUE, i.Load.RATE)
+    assert [c.effect for c in settings.classes] == [i.Effect.SAFE, i.Effect.UNSAFE]
+
+
+def run_process(text: str, seed: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "linetrack.simhost"],
+        input=text,
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        env={**os.environ, "PYTHONHASHSEED": seed},
+        timeout=60,
+        check=False,
+    )
+
+
+def busy_script(instances: list[int]) -> str:
+    lines = ["TICK clockUs=1000000"]
+    for n in instances:
+        lines += [enlist(n, 100 + n), "INVENTORY slot=1 lines=6"]
+        lines += [f"M upstream=u:{k} rackZone={k % 2}" for k in range(6)]
+        lines += [f"MEMBERSHIP i=sidecar/{n} index=1 form=remembered slot=1"]
+    for n in instances:
+        lines += [f"REQ i=sidecar/{n} ref={n * 100 + k} kind=0 patienceLeftUs=900000" for k in range(20)]
+    return "\n".join([*lines, "YOUR_TURN"]) + "\n"
+
+
+def test_process_is_the_same_under_any_hash_seed_and_spread() -> None:
+    together = run_process(busy_script([0, 1]), "1")
+    assert together.returncode == 0
+    assert together.stdout == run_process(busy_script([0, 1]), "2").stdout
+    alone = [run_process(busy_script([n]), "3").stdout.splitlines() for n in (0, 1)]
+    for n in (0, 1):
+        mine = [line for line in together.stdout.splitlines() if f"i=sidecar/{n} " in line]
+        assert mine == alone[n][:-1]
+
+
+def test_end_of_input_between_batches_is_a_clean_exit() -> None:
+    assert run_process("", "0").returncode == 0
+    broken = run_process("TICK clockUs=1\n", "0")
+    assert broken.returncode != 0 and "inside a batch" in broken.stderr
