--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -284,7 +284,7 @@
             # guards against refusing for one bad draw: drawn again among those worth the work
             home = [u for u in home if self._net(request, u) >= 0] or home
             request.first = self._draw(home, False)
-        if away and (request.first is None or self._spill(request, request.first, away)):
+        if away and (request.first is None or self._spill(request, home, away)):
             request.first = self._draw(away, True)
         rest = self._ready(request, None, [request.first] if request.first else [])
         request.second = self._draw(rest, True)
@@ -333,9 +333,9 @@
             0.01, self.asked[klass]
         )
 
-    def _spill(self, request: Request, first: Upstream, away: list[Upstream]) -> bool:
+    def _spill(self, request: Request, home: list[Upstream], away: list[Upstream]) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        gained = max(self._net(request, u) for u in away) - self._net(request, first)
+        gained = max(self._net(request, u) for u in away) - max(self._net(request, u) for u in home)
         return gained > self.s.price_cross
 
     def _observe(self, arrival: Arrival) -> None:
