--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -284,8 +284,9 @@
             # guards against refusing for one bad draw: drawn again among those worth the work
             home = [u for u in home if self._net(request, u) >= 0] or home
             request.first = self._draw(home, False)
-        if away and (request.first is None or self._spill(request, home, away)):
-            request.first = self._draw(away, True)
+        other = self._draw(away, True)
+        if other is not None and (request.first is None or self._spill(request, home, other)):
+            request.first = other
         rest = self._ready(request, None, [request.first] if request.first else [])
         request.second = self._draw(rest, True)
 
@@ -333,9 +334,9 @@
             0.01, self.asked[klass]
         )
 
-    def _spill(self, request: Request, home: list[Upstream], away: list[Upstream]) -> bool:
+    def _spill(self, request: Request, home: list[Upstream], other: Upstream) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        gained = max(self._net(request, u) for u in away) - max(self._net(request, u) for u in home)
+        gained = self._net(request, other) - max(self._net(request, u) for u in home)
         return gained > self.s.price_cross
 
     def _observe(self, arrival: Arrival) -> None:
