The late share moves the cost of work: cheap while calm, dear once crowded

Cause: upstreams that hold too many slow down, so all three incidents tipped into a jam with retries on top; rivals (hang, slow upstream, list) ruled out as every upstream slowed at once with no entry in the log.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -53,7 +53,11 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-COST_CURVE = 1.5  # work costs others (expected completion / aim) ** this of what the densest class earns
+CALM_CURVE = (
+    2.0  # work costs others fullness ** this of what the densest class earns while answers are in time
+)
+STRAIN_CURVE = 1.0  # and fullness ** this once the late share reaches STRAINED
+STRAINED = 0.08  # share of late requests at which upstreams count as crowded
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
@@ -133,6 +137,7 @@
         self.ask_wait = ASK_AGAIN
         self.watching = False
         self.heard_at = self.timed_at = 0
+        self.late = 0.0
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.actions = now, []
@@ -317,7 +322,8 @@
         fullness = self._faded(
             self._expected(upstream) * self._bias() / room, self.heard_at, 0.0, FORGET_SPEED
         )
-        cost: float = min(1.0, fullness**COST_CURVE)
+        strain = min(1.0, self.late / STRAINED)
+        cost: float = min(1.0, fullness ** (CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)))
         klass = request.arrival.klass
         densest = max(self._class_worth(n) / self._scale(n) for n in classes)
         size = self._value(request) / self._class_worth(klass) * self._scale(klass)
@@ -568,7 +574,11 @@
         """The request is over: nothing more goes out for it, copies still out are called off."""
         del self.requests[request.number]
         klass = request.arrival.klass
-        good = answered and self.now - request.at <= request.klass.aim
+        late = self.now - request.at > request.klass.aim
+        good = answered and not late
+        if request.sends:
+            # guards against a jam: once crowded, upstreams slow down, so late answers raise the cost of work
+            self.late += SMOOTH / 8 * (late - self.late)
         self.served[klass] += SMOOTH / 8 * (good - self.served[klass])
         for number, attempt in request.out.items():
             self.orphans[(request.number, number)] = attempt
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -352,3 +352,23 @@
     for _ in range(20):
         driver.serve(latency=0)
     assert sends(driver.ask()[1])
+
+
+def test_late_answers_raise_the_cost_of_work() -> None:
+    """Crowded upstreams slow down, so lateness must shed earlier than the same load answered in time."""
+    nets = []
+    for latency in (100 * MS, 700 * MS):
+        driver = Driver()
+        for _ in range(30):
+            driver.serve(latency=300 * MS)
+        before = driver.balancer.late
+        request, actions = driver.ask()
+        driver.end(request, sends(actions)[0], latency=latency)
+        assert (driver.balancer.late > before) == (latency > 500 * MS)
+        driver.balancer.late = 0.2 * (latency > 500 * MS)
+        request, _ = driver.ask()
+        held = driver.balancer.requests[request]
+        record = driver.balancer.fleet["h0"]
+        record.service, driver.balancer.bias = 300.0 * MS, 1.0
+        nets.append(driver.balancer._net(held, record))
+    assert nets[1] < nets[0]
