--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -360,7 +360,7 @@
     for latency in (100 * MS, 700 * MS):
         driver = Driver()
         for _ in range(30):
-            driver.serve(latency=300 * MS)
+            driver.serve(latency=100 * MS)
         before = driver.balancer.late
         request, actions = driver.ask()
         driver.end(request, sends(actions)[0], latency=latency)
