--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -53,9 +53,7 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-CALM_CURVE = (
-    2.0  # work costs others fullness ** this of what the densest class earns while answers are in time
-)
+CALM_CURVE = 2.0  # while answers are in time, work costs fullness ** this of the densest class's worth
 STRAIN_CURVE = 1.0  # and fullness ** this once the late share reaches STRAINED
 STRAINED = 0.08  # share of late requests at which upstreams count as crowded
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
