--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -197,6 +197,8 @@
         elif Load.UTIL in seen:
             busy = min(seen[Load.UTIL], BUSIEST)
             figure = busy / (1 - busy)
+        elif Load.LATENCY_MS in seen and self.mean_latency:
+            figure = 1000 * seen[Load.LATENCY_MS] / self.mean_latency
         else:
             return
         beyond = max(0.0, figure - len(upstream.out))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -372,3 +372,13 @@
         record.service, driver.balancer.bias = 300.0 * MS, 1.0
         nets.append(driver.balancer._net(held, record))
     assert nets[1] < nets[0]
+
+
+def test_reported_latency_is_the_load_where_nothing_better_is_reported() -> None:
+    driver = Driver(report_fields=(Load.LATENCY_MS,))
+    for _ in range(30):
+        driver.serve()
+    for name in ("h0", "h1", "h2", "h3"):
+        driver.balancer._report(driver.balancer.fleet[name], (900.0 if name == "h1" else 50.0,))
+    others = {n: driver.balancer.fleet[n].others for n in ("h0", "h1", "h2", "h3")}
+    assert others["h1"] == max(others.values()) > others["h0"] > 0
