One outlook for chance and cost; no check beside the guard's own

The biased, fading expectation stood in two places, the value of a request was worked out twice for each send, and readiness repeated the guard's test for drained upstreams.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -262,7 +262,7 @@
         usable = [
             u
             for u in self.fleet.values()
-            if not u.gone and (zone is None or u.zone == zone) and u not in barred and self._may(request, u)
+            if (zone is None or u.zone == zone) and u not in barred and self._may(request, u)
         ]
         # never mark a whole zone unavailable: when all are in a spell, none is
         return [u for u in usable if self._open_to(request, u)] or usable
@@ -296,11 +296,15 @@
         request.second = self._draw(rest, True)
 
     # --- Admission -------------------------------------------------------------------------------
+    def _outlook(self, upstream: Upstream) -> float:
+        """Expected completion of a mean request there, scaled by what sends really took."""
+        # guards against refusing for ever: once nothing was heard for a while, nothing is known to be full
+        return self._faded(self._bias() * self._expected(upstream), self.heard_at, 0.0, FORGET_SPEED)
+
     def _chance(self, request: Request, upstream: Upstream) -> float:
         """Chance that an attempt sent there now is answered without error within the aim."""
         left = request.klass.aim - (self.now - request.at)
-        expected = self._scale(request.arrival.klass) * self._bias() * self._expected(upstream)
-        expected = self._faded(expected, self.heard_at, 0.0, FORGET_SPEED)
+        expected = self._scale(request.arrival.klass) * self._outlook(upstream)
         return (1 - min(0.9, upstream.errors)) / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
 
     def _value(self, request: Request) -> float:
@@ -318,16 +322,13 @@
         """
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
-        # guards against refusing for ever: once nothing was heard for a while, nothing is known to be full
-        fullness = self._faded(
-            self._expected(upstream) * self._bias() / room, self.heard_at, 0.0, FORGET_SPEED
-        )
+        fullness = self._outlook(upstream) / room
         strain = min(1.0, self.late / STRAINED)
         cost: float = min(1.0, fullness ** (CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)))
-        klass = request.arrival.klass
+        klass, value = request.arrival.klass, self._value(request)
         densest = max(self._class_worth(n) / self._scale(n) for n in classes)
-        size = self._value(request) / self._class_worth(klass) * self._scale(klass)
-        return self._chance(request, upstream) * self._value(request) - cost * densest * size
+        size = value / self._class_worth(klass) * self._scale(klass)
+        return self._chance(request, upstream) * value - cost * densest * size
 
     def _class_worth(self, klass: int) -> float:
         """Mean worth of a class's request; more while it is the worst served and the goal counts that."""
@@ -346,6 +347,8 @@
         return gained > self.s.price_cross
 
     def _observe(self, arrival: Arrival) -> None:
+        for n in range(len(self.asked)):
+            self.asked[n] += SMOOTH / 8 * ((n == arrival.klass) - self.asked[n])
         work = float(arrival.work)
         if work > 0:
             self.mean_work += SMOOTH / 4 * (work - self.mean_work) if self.mean_work else work
@@ -361,8 +364,6 @@
         self.requests[request.number] = request
         self.budget = min(BUDGET_BURST, self.budget + BUDGET_SHARE)
         self._observe(arrival)
-        for n in range(len(self.asked)):
-            self.asked[n] += SMOOTH / 8 * ((n == arrival.klass) - self.asked[n])
         self._start(request)
 
     def _start(self, request: Request) -> None:
