--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,7 @@
 """Made-up settings and a small driver; nothing here comes from any deployment."""
 
+from collections.abc import Callable
+
 from linetrack.interface import (
     Action,
     Arrival,
@@ -86,6 +88,16 @@
         over = outcome is Outcome.OK
         return self.feed(Ended(request, attempt, upstream, outcome, latency, over, report), latency)
 
+    def finish(self, answer: Callable[[str], tuple[Outcome, int]], klass: int = SAFE) -> list[str]:
+        """One request to its end, each attempt ended as `answer` says of its upstream; where it went."""
+        request, actions = self.ask(klass)
+        went: list[str] = []
+        while upstreams := sends(actions):
+            outcome, latency = answer(upstreams[0])
+            went.append(upstreams[0])
+            actions = self.end(request, upstreams[0], outcome, latency, len(went) - 1)
+        return went
+
     def serve(self, klass: int = SAFE, latency: int = 50 * MS, report: tuple[float, ...] = ()) -> str:
         """One request, answered by wherever it went."""
         request, actions = self.ask(klass)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -94,14 +94,8 @@
     driver = Driver()
     met = 0
     for _ in range(200):
-        request, actions = driver.ask()
-        attempt = 0
-        while upstreams := sends(actions):
-            bad = upstreams[0] == "h0"
-            met += bad
-            outcome = Outcome.ERROR if bad else Outcome.OK
-            actions = driver.end(request, upstreams[0], outcome, 2 * MS if bad else 40 * MS, attempt)
-            attempt += 1
+        went = driver.finish(lambda u: (Outcome.ERROR, 2 * MS) if u == "h0" else (Outcome.OK, 40 * MS))
+        met += went.count("h0")
     assert met < 25
 
 
@@ -122,11 +116,7 @@
 def test_all_upstreams_in_a_spell_still_serve() -> None:
     driver = Driver(entries=fleet(3, 0))
     for _ in range(12):
-        request, actions = driver.ask()
-        attempt = 0
-        while upstreams := sends(actions):
-            actions = driver.end(request, upstreams[0], Outcome.CONNECT_FAILED, MS, attempt)
-            attempt += 1
+        driver.finish(lambda _: (Outcome.CONNECT_FAILED, MS))
     assert sends(driver.ask()[1])
 
 
@@ -325,13 +315,7 @@
     """Errors count into the chance that prices spillover."""
     driver = Driver(entries=fleet(1, 3))
     for _ in range(40):
-        request, actions = driver.ask()
-        attempt = 0
-        while upstreams := sends(actions):
-            bad = upstreams[0] == "h0"
-            outcome = Outcome.ERROR if bad else Outcome.OK
-            actions = driver.end(request, upstreams[0], outcome, 30 * MS, attempt)
-            attempt += 1
+        driver.finish(lambda u: (Outcome.ERROR if u == "h0" else Outcome.OK, 30 * MS))
     assert sends(driver.ask()[1])[0].startswith("a")
 
 
