--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -97,7 +97,7 @@
 
 class Request:
     __slots__ = (
-        "arrival", "at", "began", "first", "held", "klass", "number", "out", "ran", "second", "sends",
+        "arrival", "at", "began", "first", "held", "klass", "net", "number", "out", "ran", "second", "sends",
         "tried", "until",
     )  # fmt: skip
 
@@ -109,7 +109,7 @@
         self.out: dict[int, Attempt] = {}
         self.ran: list[tuple[Upstream, int]] = []  # upstream and send time of all that may have run
         self.tried: list[Upstream] = []
-        self.sends = 0
+        self.sends, self.net = 0, 0.0
         self.held = self.began = False
 
 
@@ -242,69 +242,79 @@
         mine = self.class_latency[klass]
         return mine / self.mean_latency if mine and self.mean_latency else 1.0
 
-    def _penalties(self, upstreams: list[Upstream], crossing: bool) -> list[float]:
-        expected = [self._expected(u) for u in upstreams]
-        home = [e for u, e in zip(upstreams, expected, strict=True) if u.zone == self.s.zone] or expected
-        mean = max(1.0, sum(home) / len(home)) if home else 1.0
-        penalties = []
+    def _odds(self, expected: list[float], upstreams: list[Upstream], mean: float) -> list[float]:
+        """1 / penalty of each: its expected completion over the own zone's mean, errors counted as load."""
+        odds = []
         for upstream, value in zip(upstreams, expected, strict=True):
-            penalty = max(0.05, value / mean) ** SHARPNESS
-            # guards against a fast-failing upstream that looks idle: errors count as load
-            penalty *= (1 - min(0.9, upstream.errors)) ** -ERROR_WEIGHT
-            if crossing and upstream.zone != self.s.zone:
-                penalty *= 1 + self.s.price_cross * CROSS_AVERSION
-            penalties.append(penalty)
-        return penalties
+            # guards against a fast-failing upstream that looks idle
+            sound = (1 - min(0.9, upstream.errors)) ** ERROR_WEIGHT if upstream.errors else 1.0
+            odds.append(sound * max(0.05, value / mean) ** -SHARPNESS)
+        return odds
 
     # --- Candidates ------------------------------------------------------------------------------
-    def _ready(self, request: Request, zone: int | None, barred: Iterable[Upstream] = ()) -> list[Upstream]:
-        """Listed, up, allowed by the guard, and not in a spell; never empty for spells alone."""
-        usable = [
-            u
-            for u in self.fleet.values()
-            if (zone is None or u.zone == zone) and u not in barred and self._may(request, u)
-        ]
+    def _ready(
+        self, request: Request, barred: Iterable[Upstream] = ()
+    ) -> tuple[list[Upstream], list[Upstream]]:
+        """Of the own zone and of the others: listed, up, allowed by the guard and not in a spell."""
+        limits = self._limits(request)
+        home: list[Upstream] = []
+        away: list[Upstream] = []
+        if limits is not None:
+            for upstream in self.fleet.values():
+                if self._fits(limits, upstream) and upstream not in barred:
+                    (home if upstream.zone == self.s.zone else away).append(upstream)
         # never mark a whole zone unavailable: when all are in a spell, none is
-        return [u for u in usable if self._open_to(request, u)] or usable
+        return (
+            [u for u in home if not u.spell or self._open_to(request, u)] or home,
+            [u for u in away if not u.spell or self._open_to(request, u)] or away,
+        )
 
     def _open_to(self, request: Request, upstream: Upstream) -> bool:
         """Out of its spell; the first sends after one are trials with a repeatable request."""
-        if upstream.until > self.now:
-            return False
-        if not upstream.spell:
-            return True
-        return request.klass.effect is not Effect.UNSAFE and not upstream.out
+        return upstream.until <= self.now and request.klass.effect is not Effect.UNSAFE and not upstream.out
 
-    def _draw(self, upstreams: list[Upstream], crossing: bool) -> Upstream | None:
-        if not upstreams:
-            return None
-        odds = [1 / p for p in self._penalties(upstreams, crossing)]
-        return self.random.choices(upstreams, odds)[0]
+    def _draw(self, upstreams: list[Upstream], odds: list[float]) -> int | None:
+        return self.random.choices(range(len(upstreams)), odds)[0] if upstreams else None
 
     def _candidates(self, request: Request) -> None:
-        home = self._ready(request, self.s.zone)
-        away = [u for u in self._ready(request, None) if u.zone != self.s.zone]
-        request.first = self._draw(home, False)
-        if request.first is not None and self._net(request, request.first) < 0:
+        """Both candidates, up front; each upstream's expectation is worked out once."""
+        home, away = self._ready(request)
+        at_home = [self._expected(u) for u in home]
+        abroad = [self._expected(u) for u in away]
+        known = at_home or abroad
+        mean = max(1.0, sum(known) / len(known)) if known else 1.0
+        odds, far = self._odds(at_home, home, mean), self._odds(abroad, away, mean)
+        pick, other = self._draw(home, odds), self._draw(away, far)
+        if pick is not None and self._net(request, home[pick], at_home[pick]) < 0:
             # guards against refusing for one bad draw: drawn again among those worth the work
-            home = [u for u in home if self._net(request, u) >= 0] or home
-            request.first = self._draw(home, False)
-        other = self._draw(away, True)
-        if other is not None and (request.first is None or self._spill(request, home, other)):
-            request.first = other
-        rest = self._ready(request, None, [request.first] if request.first else [])
-        request.second = self._draw(rest, True)
+            worthy = [self._net(request, u, e) >= 0 for u, e in zip(home, at_home, strict=True)]
+            if any(worthy):
+                pick = self._draw(home, [o * w for o, w in zip(odds, worthy, strict=True)])
+        request.first = home[pick] if pick is not None else None
+        if other is not None and (
+            pick is None or self._spill(request, home, at_home, away[other], abroad[other])
+        ):
+            request.first = away[other]
+        cross = 1 + self.s.price_cross * CROSS_AVERSION
+        rest, share = home + away, odds + [o / cross for o in far]
+        if request.first is not None:
+            at = rest.index(request.first)
+            del rest[at], share[at]
+        second = self._draw(rest, share)
+        request.second = rest[second] if second is not None else None
+        if request.first is not None:
+            request.net = self._net(request, request.first, self._expected(request.first))
 
     # --- Admission -------------------------------------------------------------------------------
-    def _outlook(self, upstream: Upstream) -> float:
+    def _outlook(self, expected: float) -> float:
         """Expected completion of a mean request there, scaled by what sends really took."""
         # guards against refusing for ever: once nothing was heard for a while, nothing is known to be full
-        return self._faded(self._bias() * self._expected(upstream), self.heard_at, 0.0, FORGET_SPEED)
+        return self._faded(self._bias() * expected, self.heard_at, 0.0, FORGET_SPEED)
 
-    def _chance(self, request: Request, upstream: Upstream) -> float:
+    def _chance(self, request: Request, upstream: Upstream, expected: float) -> float:
         """Chance that an attempt sent there now is answered without error within the aim."""
         left = request.klass.aim - (self.now - request.at)
-        expected = self._scale(request.arrival.klass) * self._outlook(upstream)
+        expected = self._scale(request.arrival.klass) * self._outlook(expected)
         return (1 - min(0.9, upstream.errors)) / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
 
     def _value(self, request: Request) -> float:
@@ -314,7 +324,7 @@
         heavier = work / self._scale(klass) if work and self.s.worth_by_work else 1.0
         return self._class_worth(klass) * heavier
 
-    def _net(self, request: Request, upstream: Upstream) -> float:
+    def _net(self, request: Request, upstream: Upstream, expected: float) -> float:
         """Worth likely earned there less what the work costs others, in worths of a mean request.
 
         Work costs little while completion is expected well inside the aims, and as much as the
@@ -322,13 +332,13 @@
         """
         classes = range(len(self.s.classes))
         room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
-        fullness = self._outlook(upstream) / room
+        fullness = self._outlook(expected) / room
         strain = min(1.0, self.late / STRAINED)
         cost: float = min(1.0, fullness ** (CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)))
         klass, value = request.arrival.klass, self._value(request)
         densest = max(self._class_worth(n) / self._scale(n) for n in classes)
         size = value / self._class_worth(klass) * self._scale(klass)
-        return self._chance(request, upstream) * value - cost * densest * size
+        return self._chance(request, upstream, expected) * value - cost * densest * size
 
     def _class_worth(self, klass: int) -> float:
         """Mean worth of a class's request; more while it is the worst served and the goal counts that."""
@@ -341,10 +351,12 @@
             0.01, self.asked[klass]
         )
 
-    def _spill(self, request: Request, home: list[Upstream], other: Upstream) -> bool:
+    def _spill(
+        self, request: Request, home: list[Upstream], at_home: list[float], other: Upstream, abroad: float
+    ) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        gained = self._net(request, other) - max(self._net(request, u) for u in home)
-        return gained > self.s.price_cross
+        best = max(self._net(request, u, e) for u, e in zip(home, at_home, strict=True))
+        return self._net(request, other, abroad) - best > self.s.price_cross
 
     def _observe(self, arrival: Arrival) -> None:
         for n in range(len(self.asked)):
@@ -370,7 +382,7 @@
         self._candidates(request)
         if request.first is None:
             self._hold(request)
-        elif self._net(request, request.first) < 0:  # load shedding
+        elif request.net < 0:  # load shedding
             self._end(request)
         else:
             self._send(request, request.first)
@@ -408,23 +420,22 @@
             self._end(request)
 
     def _next(self, request: Request) -> Upstream | None:
-        second = request.second
-        fresh = self._ready(request, None, request.tried)
-        if second in fresh:
-            return second
+        home, away = self._ready(request, request.tried)
+        fresh = {*home, *away}
+        if request.second in fresh:
+            return request.second
         # the appendix's rotation: the next one in list order after the last tried, own zone first
         order = list(self.fleet.values())
         start = order.index(request.tried[-1]) if request.tried else 0
-        turn = order[start:] + order[:start]
-        home = [u for u in turn if u in fresh and u.zone == self.s.zone]
-        return next(iter(home), next((u for u in turn if u in fresh), None))
+        turn = [u for u in order[start:] + order[:start] if u in fresh]
+        return next((u for u in turn if u.zone == self.s.zone), turn[0] if turn else None)
 
     def _useful(self, request: Request, target: Upstream) -> bool:
         """A further attempt must be likely to earn more than its crossing costs."""
-        expected = self._scale(request.arrival.klass) * self._expected(target)
+        expected = self._expected(target)
         price = self.s.price_cross if target.zone != self.s.zone else 0.0
-        worth = self._chance(request, target)
-        if expected < request.until - self.now:
+        worth = self._chance(request, target, expected)
+        if self._scale(request.arrival.klass) * expected < request.until - self.now:
             worth = max(worth, request.klass.late_worth)
         return worth * self._value(request) > price and worth > 0.05
 
@@ -522,25 +533,36 @@
         return len(upstream.cold_sent) < max(1, int(room))
 
     # --- The guard: every send and every final answer passes here --------------------------------
-    def _may(self, request: Request, upstream: Upstream) -> bool:
-        """Whether the rules allow this request's next attempt to go to this upstream now."""
+    def _limits(self, request: Request) -> tuple[int | None, int | None] | None:
+        """Zone and cell that the request's next attempt must keep to; None where none may be sent."""
         s, klass = self.s, request.klass
-        if upstream.gone or request.began or self.now >= request.until or request.sends >= s.max_attempts:
-            return False
+        if request.began or self.now >= request.until or request.sends >= s.max_attempts:
+            return None
+        if not request.sends:
+            return None, None
         maybe = request.ran + [(a.upstream, a.sent) for a in request.out.values()]
-        if request.out and not s.parallel:
-            return False
-        if maybe and klass.effect is Effect.UNSAFE:
-            return False
+        if (request.out and not s.parallel) or (maybe and klass.effect is Effect.UNSAFE):
+            return None
         if maybe and klass.effect is Effect.KEYED:
             if self.now >= min(sent for _, sent in maybe) + klass.window:
-                return False
+                return None
             first = maybe[0][0]
-            if klass.group is Group.ZONE and upstream.zone != first.zone:
-                return False
-            if klass.group is Group.CELL and (upstream.zone, upstream.cell) != (first.zone, first.cell):
-                return False
-        return self._cold_room(upstream)
+            if klass.group is not Group.ALL:
+                return first.zone, first.cell if klass.group is Group.CELL else None
+        return None, None
+
+    def _fits(self, limits: tuple[int | None, int | None], upstream: Upstream) -> bool:
+        zone, cell = limits
+        if upstream.gone or (zone is not None and upstream.zone != zone):
+            return False
+        return (cell is None or upstream.cell == cell) and (
+            not upstream.listed_start or self._cold_room(upstream)
+        )
+
+    def _may(self, request: Request, upstream: Upstream) -> bool:
+        """Whether the rules allow this request's next attempt to go to this upstream now."""
+        limits = self._limits(request)
+        return limits is not None and self._fits(limits, upstream)
 
     def _send(self, request: Request, upstream: Upstream) -> bool:
         if request.number not in self.requests or not self._may(request, upstream):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,6 +20,7 @@
     TimerDue,
     Watch,
 )
+from linetrack.rules import Balancer
 from tests.helpers import CELL, KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
 
@@ -27,6 +28,13 @@
     return Counter(driver.serve() for _ in range(count))
 
 
+def home_odds(driver: Driver) -> list[float]:
+    balancer = driver.balancer
+    home = [u for u in balancer.fleet.values() if u.zone == 0]
+    expected = [balancer._expected(u) for u in home]
+    return balancer._odds(expected, home, sum(expected) / len(expected))
+
+
 def test_first_pick_stays_in_the_own_zone_and_removes_none() -> None:
     got = shares(Driver())
     assert set(got) == {"h0", "h1", "h2", "h3"}
@@ -39,10 +47,10 @@
         driver.serve()
     balancer = driver.balancer
     home = [u for u in balancer.fleet.values() if u.zone == 0]
-    odds = [1 / p for p in balancer._penalties(home, False)]
-    drawn = Counter(u.name for u in (balancer._draw(home, False) for _ in range(4000)) if u)
-    for upstream, weight in zip(home, odds, strict=True):
-        assert drawn[upstream.name] / 4000 == pytest.approx(weight / sum(odds), abs=0.04)
+    odds = home_odds(driver)
+    drawn = Counter(balancer._draw(home, odds) for _ in range(4000))
+    for at, weight in enumerate(odds):
+        assert drawn[at] / 4000 == pytest.approx(weight / sum(odds), abs=0.04)
 
 
 def test_same_events_same_actions() -> None:
@@ -69,9 +77,8 @@
     for name in ("h0", "h1", "h2", "h3"):
         record = driver.balancer.fleet[name]
         driver.balancer._report(record, (30.0 if name == "h2" else 0.0,))
-    home = [u for u in driver.balancer.fleet.values() if u.zone == 0]
-    penalties = {u.name: p for u, p in zip(home, driver.balancer._penalties(home, False), strict=True)}
-    assert penalties["h2"] == max(penalties.values())
+    odds = home_odds(driver)
+    assert odds[2] == min(odds)
 
 
 @pytest.mark.parametrize("report", [(), (float("nan"),), (-3.0,), (float("inf"),), (1.0, 2.0, 3.0)])
@@ -354,7 +361,7 @@
         held = driver.balancer.requests[request]
         record = driver.balancer.fleet["h0"]
         record.service, driver.balancer.bias = 300.0 * MS, 1.0
-        nets.append(driver.balancer._net(held, record))
+        nets.append(driver.balancer._net(held, record, driver.balancer._expected(record)))
     assert nets[1] < nets[0]
 
 
@@ -366,3 +373,15 @@
         driver.balancer._report(driver.balancer.fleet[name], (900.0 if name == "h1" else 50.0,))
     others = {n: driver.balancer.fleet[n].others for n in ("h0", "h1", "h2", "h3")}
     assert others["h1"] == max(others.values()) > others["h0"] > 0
+
+
+def test_each_expectation_is_worked_out_once_a_decision(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ranking a large fleet several times for one request got whole days cut off."""
+    driver = Driver(entries=fleet(60, 40))
+    for _ in range(30):
+        driver.serve()
+    worked: Counter[str] = Counter()
+    expected = Balancer._expected
+    monkeypatch.setattr(Balancer, "_expected", lambda b, u: worked.update([u.name]) or expected(b, u))
+    assert sends(driver.ask()[1])
+    assert sum(worked.values()) <= 100 + 2  # and the one sent to once more at each of its steps
