What a request is worth and costs is worked out once a decision

Cause: the worth of every class was worked out again for every upstream at home when spillover and shedding were weighed.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -97,8 +97,8 @@
 
 class Request:
     __slots__ = (
-        "arrival", "at", "began", "first", "held", "klass", "net", "number", "out", "ran", "second", "sends",
-        "tried", "until",
+        "arrival", "at", "began", "curve", "dearest", "first", "held", "klass", "net", "number", "out", "ran",
+        "room", "scale", "second", "sends", "stretch", "tried", "until", "value",
     )  # fmt: skip
 
     def __init__(self, arrival: Arrival, klass: RequestClass, now: int) -> None:
@@ -110,6 +110,7 @@
         self.ran: list[tuple[Upstream, int]] = []  # upstream and send time of all that may have run
         self.tried: list[Upstream] = []
         self.sends, self.net = 0, 0.0
+        self.scale = self.value = self.dearest = self.room = self.curve = self.stretch = 1.0
         self.held = self.began = False
 
 
@@ -278,6 +279,7 @@
 
     def _candidates(self, request: Request) -> None:
         """Both candidates, up front; each upstream's expectation is worked out once."""
+        self._weigh(request)
         home, away = self._ready(request)
         at_home = [self._expected(u) for u in home]
         abroad = [self._expected(u) for u in away]
@@ -306,39 +308,39 @@
             request.net = self._net(request, request.first, self._expected(request.first))
 
     # --- Admission -------------------------------------------------------------------------------
-    def _outlook(self, expected: float) -> float:
-        """Expected completion of a mean request there, scaled by what sends really took."""
-        # guards against refusing for ever: once nothing was heard for a while, nothing is known to be full
-        return self._faded(self._bias() * expected, self.heard_at, 0.0, FORGET_SPEED)
+    def _weigh(self, request: Request) -> None:
+        """All of a request's worth and cost that is the same for every upstream, in worths of a mean request.
+
+        Work costs little while completion is expected well inside the aims, and as much as the
+        densest class earns once it reaches them; so less worth per work is shed earlier.
+        """
+        klass, classes = request.arrival.klass, range(len(self.s.classes))
+        scales = [self._scale(n) for n in classes]
+        worths = [self._class_worth(n) for n in classes]
+        work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
+        size = work if work and self.s.worth_by_work else scales[klass]
+        request.scale, request.value = scales[klass], worths[klass] * size / scales[klass]
+        request.dearest = max(worths[n] / scales[n] for n in classes) * size
+        request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
+        strain = min(1.0, self.late / STRAINED)
+        request.curve = CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)
+        # sends really took so many times what was expected; once nothing was heard for a while, nothing is
+        # known to be full, which guards against refusing for ever
+        request.stretch = self._faded(self._bias(), self.heard_at, 0.0, FORGET_SPEED)
 
     def _chance(self, request: Request, upstream: Upstream, expected: float) -> float:
         """Chance that an attempt sent there now is answered without error within the aim."""
         left = request.klass.aim - (self.now - request.at)
-        expected = self._scale(request.arrival.klass) * self._outlook(expected)
-        return (1 - min(0.9, upstream.errors)) / (1 + (expected / left) ** CHANCE) if left > 0 else 0.0
-
-    def _value(self, request: Request) -> float:
-        """Worth of this request as a multiple of the mean request's."""
-        klass = request.arrival.klass
-        work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
-        heavier = work / self._scale(klass) if work and self.s.worth_by_work else 1.0
-        return self._class_worth(klass) * heavier
+        if left <= 0:
+            return 0.0
+        sound: float = 1 - min(0.9, upstream.errors)
+        late: float = (request.scale * request.stretch * expected / left) ** CHANCE
+        return sound / (1 + late)
 
     def _net(self, request: Request, upstream: Upstream, expected: float) -> float:
-        """Worth likely earned there less what the work costs others, in worths of a mean request.
-
-        Work costs little while completion is expected well inside the aims, and as much as the
-        densest class earns once it reaches them; so less worth per work is shed earlier.
-        """
-        classes = range(len(self.s.classes))
-        room = sum(self.s.classes[n].aim / self._scale(n) for n in classes) / len(classes)
-        fullness = self._outlook(expected) / room
-        strain = min(1.0, self.late / STRAINED)
-        cost: float = min(1.0, fullness ** (CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)))
-        klass, value = request.arrival.klass, self._value(request)
-        densest = max(self._class_worth(n) / self._scale(n) for n in classes)
-        size = value / self._class_worth(klass) * self._scale(klass)
-        return self._chance(request, upstream, expected) * value - cost * densest * size
+        """Worth likely earned there less what the work costs others."""
+        cost: float = min(1.0, (request.stretch * expected / request.room) ** request.curve)
+        return self._chance(request, upstream, expected) * request.value - cost * request.dearest
 
     def _class_worth(self, klass: int) -> float:
         """Mean worth of a class's request; more while it is the worst served and the goal counts that."""
@@ -435,9 +437,9 @@
         expected = self._expected(target)
         price = self.s.price_cross if target.zone != self.s.zone else 0.0
         worth = self._chance(request, target, expected)
-        if self._scale(request.arrival.klass) * expected < request.until - self.now:
+        if request.scale * expected < request.until - self.now:
             worth = max(worth, request.klass.late_worth)
-        return worth * self._value(request) > price and worth > 0.05
+        return worth * request.value > price and worth > 0.05
 
     def _ended(self, event: Ended) -> None:
         request = self.requests.get(event.request)
