Own figures count by amount and freshness of evidence, beside those of kind and zone

An answer's time is now split, in logarithms, into calm pace, crowding of the zone, kind, upstream and class; each part is pooled and fades.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -43,7 +43,12 @@
 BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
 FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
 REPORT_WEIGHT = 0.2  # a request told of in a report, beside an own one: late and noisy, so worth less
-FORGET_SPEED = 12 * SECOND  # an observed service time not renewed fades to the mean over this time
+FORGET_SPEED = 12 * SECOND  # what rests on own answers fades to what is known of its pool over this time
+MEMORY = 10.0  # answers that a smoothed figure rests on at most, so that each newer one still tells
+TRUST = 2.0  # answers at which an own figure counts as much as its pool's
+CALM_STEP = 0.03  # step of the calm pace, per answer and in logarithms; it falls CALM_FALL times as fast
+CALM_FALL = 3.0  # as it rises, so it stays near the pace of uncrowded upstreams
+FIRST_GUESS = 0.25  # the pace before any answer, as a share of the shortest aim
 SHARPNESS = 6.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
@@ -64,12 +69,47 @@
 ASK_AGAIN = 1 * SECOND  # first wait before discovery is asked again; doubles to ask_every / 2
 
 
+class Evidence:
+    """A smoothed figure that knows how many answers it rests on; they fade with time.
+
+    Guards against thin evidence: an instance with few requests hears from an upstream once in many
+    seconds, so a figure counts by how much and how fresh its evidence is, beside its pool's.
+    """
+
+    __slots__ = ("at", "value", "weight")
+
+    def __init__(self) -> None:
+        self.value = self.weight = 0.0
+        self.at = 0
+
+    def held(self, now: int) -> float:
+        return self.weight * math.exp((self.at - now) / FORGET_SPEED) if self.weight else 0.0
+
+    def add(self, now: int, value: float) -> None:
+        self.weight = min(self.held(now) + 1, MEMORY)
+        self.value += (value - self.value) / self.weight
+        self.at = now
+
+    def beside(self, now: int, pool: float) -> float:
+        held = self.held(now)
+        return pool + held / (held + TRUST) * (self.value - pool) if held else pool
+
+
+class Pool:
+    """What is known of a zone: how crowded it is, and the mean of what its reports tell."""
+
+    __slots__ = ("crowd", "others")
+
+    def __init__(self) -> None:
+        self.crowd, self.others = Evidence(), 0.0
+
+
 class Upstream:
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "cell", "cold_sent", "errors", "gone", "heard_at", "listed_start", "load_at", "name", "others", "out",
-        "service", "service_at", "spell", "until", "zone",
+        "cell", "cold_sent", "errors", "gone", "heard_at", "kind", "listed_start", "load_at", "name",
+        "others", "out", "pace", "spell", "until", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -81,8 +121,10 @@
         """A new process: nothing learnt before holds."""
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
         self.gone = entry.health is not Health.UP
-        self.others = self.service = self.errors = 0.0
-        self.heard_at = self.load_at = self.service_at = self.until = self.spell = 0
+        self.kind = entry.kind
+        self.others = self.errors = 0.0
+        self.pace = Evidence()  # logarithm of its time for a request over that of its kind
+        self.heard_at = self.load_at = self.until = self.spell = 0
         self.cold_sent: list[int] = []
 
 
@@ -126,16 +168,19 @@
         self.requests: dict[int, Request] = {}
         self.orphans: dict[tuple[int, int], Attempt] = {}
         self.budget = BUDGET_BURST
-        self.mean_latency = self.mean_service = self.mean_others = 0.0
-        self.bias, self.bias_at = 1.0, 0
-        self.class_latency = [0.0] * len(settings.classes)
+        # an answer's time, in logarithms: calm pace + zone's crowding + kind and upstream + class
+        self.calm = math.log(max(1.0, FIRST_GUESS * min(c.aim for c in settings.classes)))
+        self.answers = 0
+        self.zones: dict[int, Pool] = {}
+        self.kinds: dict[int, Evidence] = {}
+        self.sizes = [Evidence() for _ in settings.classes]
         self.mean_worth = 0.0
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
         self.served = [1.0] * len(settings.classes)
         self.mean_work = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
-        self.heard_at = self.timed_at = 0
+        self.heard_at = 0
         self.late = 0.0
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -198,24 +243,29 @@
         elif Load.UTIL in seen:
             busy = min(seen[Load.UTIL], BUSIEST)
             figure = busy / (1 - busy)
-        elif Load.LATENCY_MS in seen and self.mean_latency:
-            figure = 1000 * seen[Load.LATENCY_MS] / self.mean_latency
+        elif Load.LATENCY_MS in seen:
+            figure = 1000 * seen[Load.LATENCY_MS] / math.exp(self.calm)
         else:
             return
         beyond = max(0.0, figure - len(upstream.out))
         # late reports swing shares: smoothed, and own sends are counted on top as they happen
-        upstream.others += 2 * SMOOTH * (beyond - upstream.others) if upstream.load_at else beyond
+        fresh = 1 - math.exp((upstream.load_at - self.now) / FORGET_LOAD) if upstream.load_at else 1.0
+        upstream.others += max(2 * SMOOTH, fresh) * (beyond - upstream.others)
         upstream.load_at = self.now
-        self.mean_others += SMOOTH / 4 * (beyond - self.mean_others)
+        pool = self._zone(upstream)
+        pool.others += SMOOTH / 4 * (beyond - pool.others)
 
     # --- Penalty ---------------------------------------------------------------------------------
     def _faded(self, value: float, since: int, mean: float, over: int) -> float:
         """The value while news of it is fresh, towards the mean as it ages: old news must not rule."""
         return mean + (value - mean) * math.exp((since - self.now) / over) if since else mean
 
+    def _zone(self, upstream: Upstream) -> Pool:
+        return self.zones.setdefault(upstream.zone, Pool())
+
     def _backlog(self, upstream: Upstream, weight: float) -> float:
         """Requests at the upstream: own ones still out, and what its reports told beyond them."""
-        others = self._faded(upstream.others, upstream.load_at, self.mean_others, FORGET_LOAD)
+        others = self._faded(upstream.others, upstream.load_at, self._zone(upstream).others, FORGET_LOAD)
         return len(upstream.out) + weight * (others if upstream.load_at else 0.0)
 
     def _warmth(self, upstream: Upstream) -> float:
@@ -225,9 +275,15 @@
         age = max(0, self.now - upstream.listed_start) / self.s.warm_up
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
 
+    def _pace(self, upstream: Upstream) -> float:
+        """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
+        kind = self.kinds.get(upstream.kind)
+        return upstream.pace.beside(self.now, kind.beside(self.now, 0.0) if kind else 0.0)
+
     def _expected(self, upstream: Upstream) -> float:
-        """Expected completion of a mean request sent now; 0 while nothing is known at all."""
-        service = self._faded(upstream.service, upstream.service_at, self.mean_service, FORGET_SPEED)
+        """Expected completion of a mean request sent now."""
+        level = self.calm + self._zone(upstream).crowd.beside(self.now, 0.0)
+        service = math.exp(level + self._pace(upstream))
         expected = service * (1 + self._backlog(upstream, REPORT_WEIGHT)) / self._warmth(upstream)
         if upstream.out:
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
@@ -235,13 +291,9 @@
             expected = max(expected, self.now - oldest.sent - 2 * oldest.expected + expected)
         return expected
 
-    def _bias(self) -> float:
-        """Observed over expected completion; fades, so that refusing everything cannot last."""
-        return self._faded(self.bias, self.bias_at, 1.0, 3 * FORGET_LOAD)
-
     def _scale(self, klass: int) -> float:
-        mine = self.class_latency[klass]
-        return mine / self.mean_latency if mine and self.mean_latency else 1.0
+        """Time of the class's mean request over the mean of all."""
+        return math.exp(self.sizes[klass].beside(self.now, 0.0))
 
     def _odds(self, expected: list[float], upstreams: list[Upstream], mean: float) -> list[float]:
         """1 / penalty of each: its expected completion over the own zone's mean, errors counted as load."""
@@ -324,9 +376,8 @@
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
         strain = min(1.0, self.late / STRAINED)
         request.curve = CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)
-        # sends really took so many times what was expected; once nothing was heard for a while, nothing is
-        # known to be full, which guards against refusing for ever
-        request.stretch = self._faded(self._bias(), self.heard_at, 0.0, FORGET_SPEED)
+        # once nothing was heard for a while, nothing is known to be full: guards against refusing for ever
+        request.stretch = self._faded(1.0, self.heard_at, 0.0, FORGET_SPEED)
 
     def _chance(self, request: Request, upstream: Upstream, expected: float) -> float:
         """Chance that an attempt sent there now is answered without error within the aim."""
@@ -494,25 +545,22 @@
 
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
+        upstream, size = attempt.upstream, self.sizes[attempt.klass]
+        zone, kind = self._zone(upstream).crowd, self.kinds.setdefault(upstream.kind, Evidence())
         # guards against a clock too coarse to tell: an answer in no time still takes some
-        latency, upstream, klass = max(1, latency), attempt.upstream, attempt.klass
-        # after a silence the first news counts almost alone, so that an old jam is soon forgotten
-        slow = max(SMOOTH / 4, 1 - self._faded(1.0, self.timed_at or self.now, 0.0, FORGET_SPEED))
-        fast = max(SMOOTH / 2, 1 - self._faded(1.0, upstream.service_at or self.now, 0.0, FORGET_SPEED))
-        self.timed_at = self.now
-        mean = self.class_latency[klass]
-        self.class_latency[klass] += slow * (latency - mean) if mean else latency
-        self.mean_latency += slow * (latency - self.mean_latency) if self.mean_latency else latency
-        service = max(1.0, latency / self._scale(klass) / (1 + attempt.backlog) * self._warmth(upstream))
-        self.mean_service += slow * (service - self.mean_service) if self.mean_service else service
-        # in ratios, so that one very heavy request does not make an upstream look slow
-        known = upstream.service or self.mean_service
-        upstream.service = known * (service / known) ** fast
-        upstream.service_at = self.now
-        if attempt.expected:
-            # guards against refusing on a model that errs: scaled by what sends really took
-            bias = self._bias()
-            self.bias, self.bias_at = bias + slow * (min(3.0, latency / attempt.expected) - bias), self.now
+        took = math.log(max(1, latency) * self._warmth(upstream) / (1 + attempt.backlog))
+        # in logarithms, so that one very heavy request does not make an upstream look slow; each part
+        # learns what the others leave unexplained
+        pace, scale, crowd = self._pace(upstream), size.beside(self.now, 0.0), zone.beside(self.now, 0.0)
+        rest = took - scale - pace - self.calm
+        self.answers += 1
+        step = max(1 / self.answers, CALM_STEP * (1.0 if rest > 0 else CALM_FALL))
+        self.calm += min(1.0, step) * rest
+        rest = took - scale - self.calm
+        zone.add(self.now, rest - pace)
+        kind.add(self.now, rest - crowd)
+        upstream.pace.add(self.now, rest - crowd)
+        size.add(self.now, took - self.calm - crowd - pace)
 
     # --- Cold start ------------------------------------------------------------------------------
     def _cold_room(self, upstream: Upstream) -> bool:
@@ -525,7 +573,7 @@
         share = self._warmth(upstream)
         if share >= 1 or not self.s.overload_for or not self.s.fall_multiple:
             return True
-        cost = 1.5 * (self.mean_latency or max(c.aim for c in self.s.classes))
+        cost = 1.5 * math.exp(self.calm) if self.answers else float(max(c.aim for c in self.s.classes))
         span = self.s.overload_for
         room = self.s.fall_multiple * share * COLD_SAFETY * span / cost / self.s.instances
         turn = max(0, self.now - upstream.listed_start) // span
