--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -109,7 +109,7 @@
 
     __slots__ = (
         "cell", "cold_sent", "errors", "gone", "heard_at", "kind", "listed_start", "load_at", "name",
-        "others", "out", "pace", "spell", "until", "zone",
+        "others", "out", "pace", "size", "spell", "until", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -121,7 +121,7 @@
         """A new process: nothing learnt before holds."""
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
         self.gone = entry.health is not Health.UP
-        self.kind = entry.kind
+        self.kind, self.size = entry.kind, 1.0
         self.others = self.errors = 0.0
         self.pace = Evidence()  # logarithm of its time for a request over that of its kind
         self.heard_at = self.load_at = self.until = self.spell = 0
@@ -220,6 +220,8 @@
             elif entry.started > upstream.listed_start:
                 upstream.fresh(entry)
             upstream.gone = entry.health is not Health.UP
+            # a size that is no positive number tells nothing
+            upstream.size = entry.size if 0 < entry.size < math.inf else 1.0
         if news.form is not ListForm.CHANGES:
             for upstream in self.fleet.values():
                 if upstream.name not in listed:
@@ -296,12 +298,12 @@
         return math.exp(self.sizes[klass].beside(self.now, 0.0))
 
     def _odds(self, expected: list[float], upstreams: list[Upstream], mean: float) -> list[float]:
-        """1 / penalty of each: its expected completion over the own zone's mean, errors counted as load."""
+        """1 / penalty of each: its expected completion over the own zone's mean, per listed size."""
         odds = []
         for upstream, value in zip(upstreams, expected, strict=True):
-            # guards against a fast-failing upstream that looks idle
+            # guards against a fast-failing upstream that looks idle: errors count as load
             sound = (1 - min(0.9, upstream.errors)) ** ERROR_WEIGHT if upstream.errors else 1.0
-            odds.append(sound * max(0.05, value / mean) ** -SHARPNESS)
+            odds.append(upstream.size * sound * max(0.05, value / mean) ** -SHARPNESS)
         return odds
 
     # --- Candidates ------------------------------------------------------------------------------
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -422,3 +422,10 @@
     figure.add(0, 5.0)
     assert 1.0 < one < figure.beside(0, 1.0) < 5.0
     assert figure.beside(120 * SECOND, 1.0) == pytest.approx(1.0, abs=0.01)
+
+
+@pytest.mark.parametrize("size", [2.0, 0.0, -1.0, float("nan"), float("inf")])
+def test_listed_size_weighs_the_odds_and_nonsense_does_not(size: float) -> None:
+    driver = Driver(entries=(Entry("h0", size=size), Entry("h1")))
+    odds = home_odds(driver)
+    assert odds[0] == pytest.approx(odds[1] * (size if size == 2.0 else 1.0))
