Work costs the delay it adds: crowding against the calm pace replaces the strained curve

Cause: the price of work hung on the share of late answers, which swings for an instance with one request a second; a quarter was refused on calm stretches. Three tunables go.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -58,9 +58,6 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
-CALM_CURVE = 2.5  # while answers are in time, work costs fullness ** this of the densest class's worth
-STRAIN_CURVE = 1.0  # and fullness ** this once the late share reaches STRAINED
-STRAINED = 0.08  # share of late requests at which upstreams count as crowded
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
@@ -139,8 +136,8 @@
 
 class Request:
     __slots__ = (
-        "arrival", "at", "began", "curve", "dearest", "first", "held", "klass", "net", "number", "out", "ran",
-        "room", "scale", "second", "sends", "stretch", "tried", "until", "value",
+        "arrival", "at", "began", "first", "held", "klass", "net", "number", "out", "ran",
+        "room", "scale", "second", "sends", "size", "stretch", "tried", "until", "value",
     )  # fmt: skip
 
     def __init__(self, arrival: Arrival, klass: RequestClass, now: int) -> None:
@@ -152,7 +149,7 @@
         self.ran: list[tuple[Upstream, int]] = []  # upstream and send time of all that may have run
         self.tried: list[Upstream] = []
         self.sends, self.net = 0, 0.0
-        self.scale = self.value = self.dearest = self.room = self.curve = self.stretch = 1.0
+        self.scale = self.value = self.size = self.room = self.stretch = 1.0
         self.held = self.began = False
 
 
@@ -181,7 +178,6 @@
         self.ask_wait = ASK_AGAIN
         self.watching = False
         self.heard_at = 0
-        self.late = 0.0
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.actions = now, []
@@ -363,21 +359,15 @@
 
     # --- Admission -------------------------------------------------------------------------------
     def _weigh(self, request: Request) -> None:
-        """All of a request's worth and cost that is the same for every upstream, in worths of a mean request.
-
-        Work costs little while completion is expected well inside the aims, and as much as the
-        densest class earns once it reaches them; so less worth per work is shed earlier.
-        """
+        """All of a request's worth and cost that is the same for every upstream, in worths of a mean request."""
         klass, classes = request.arrival.klass, range(len(self.s.classes))
         scales = [self._scale(n) for n in classes]
         worths = [self._class_worth(n) for n in classes]
         work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
         size = work if work and self.s.worth_by_work else scales[klass]
         request.scale, request.value = scales[klass], worths[klass] * size / scales[klass]
-        request.dearest = max(worths[n] / scales[n] for n in classes) * size
+        request.size = size
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
-        strain = min(1.0, self.late / STRAINED)
-        request.curve = CALM_CURVE + strain * (STRAIN_CURVE - CALM_CURVE)
         # once nothing was heard for a while, nothing is known to be full: guards against refusing for ever
         request.stretch = self._faded(1.0, self.heard_at, 0.0, FORGET_SPEED)
 
@@ -391,9 +381,15 @@
         return sound / (1 + late)
 
     def _net(self, request: Request, upstream: Upstream, expected: float) -> float:
-        """Worth likely earned there less what the work costs others."""
-        cost: float = min(1.0, (request.stretch * expected / request.room) ** request.curve)
-        return self._chance(request, upstream, expected) * request.value - cost * request.dearest
+        """Worth likely earned there less what the work costs others.
+
+        Where requests take `crowded` times as long as alone, one more delays the others by about its own
+        completion x (crowded - 1) in all; the chance's slope turns that delay into worth.
+        """
+        crowded = expected * self._warmth(upstream) / math.exp(self.calm + self._pace(upstream))
+        late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
+        cost = CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
+        return self._chance(request, upstream, expected) * request.value - cost
 
     def _class_worth(self, klass: int) -> float:
         """Mean worth of a class's request; more while it is the worst served and the goal counts that."""
@@ -649,11 +645,7 @@
         """The request is over: nothing more goes out for it, copies still out are called off."""
         del self.requests[request.number]
         klass = request.arrival.klass
-        late = self.now - request.at > request.klass.aim
-        good = answered and not late
-        if request.sends:
-            # guards against a jam: once crowded, upstreams slow down, so late answers raise the cost of work
-            self.late += SMOOTH / 8 * (late - self.late)
+        good = answered and self.now - request.at <= request.klass.aim
         self.served[klass] += SMOOTH / 8 * (good - self.served[klass])
         for number, attempt in request.out.items():
             self.orphans[(request.number, number)] = attempt
