Started upstreams are used by lot, at the rate that warm ones of their kind are told to serve

Now: odds are clipped to a credit whose mean plus 2.5 standard deviations fits the budget; capacity is the reported rate of warm ones of the kind; cold answers teach nothing of pace (the true warmth is not told); odds weigh the sure share of capacity ** 1.5.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -48,6 +48,7 @@
 TRUST = 2.0  # answers at which an own figure counts as much as its pool's
 CALM_STEP = 0.03  # step of the calm pace, per answer and in logarithms; it falls CALM_FALL times as fast
 CALM_FALL = 3.0  # as it rises, so it stays near the pace of uncrowded upstreams
+CALM_MOST = 0.5  # and at most this share of the shortest aim: fleets are built to answer in time
 FIRST_GUESS = 0.25  # the pace before any answer, as a share of the shortest aim
 SHARPNESS = 6.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
@@ -58,6 +59,9 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
+COLD_TURNS = 4  # instances take turns of a span each where one send each fits in so many spans; else by lot
+COLD_SPREAD = 2.5  # standard deviations of chance that must fit beside the mean of sends by lot
+COLD_WEIGHT = 1.5  # a share w of its capacity weighs an upstream's odds by w ** this
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
@@ -105,8 +109,8 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "cell", "cold_sent", "errors", "gone", "heard_at", "kind", "listed_start", "load_at", "name",
-        "others", "out", "pace", "size", "spell", "until", "zone",
+        "cell", "cold_sent", "credit", "credit_at", "errors", "gone", "heard_at", "kind",
+        "listed_start", "load_at", "name", "others", "out", "pace", "size", "spell", "until", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -123,6 +127,7 @@
         self.pace = Evidence()  # logarithm of its time for a request over that of its kind
         self.heard_at = self.load_at = self.until = self.spell = 0
         self.cold_sent: list[int] = []
+        self.credit, self.credit_at = 0.0, entry.started
 
 
 class Attempt:
@@ -166,18 +171,21 @@
         self.orphans: dict[tuple[int, int], Attempt] = {}
         self.budget = BUDGET_BURST
         # an answer's time, in logarithms: calm pace + zone's crowding + kind and upstream + class
-        self.calm = math.log(max(1.0, FIRST_GUESS * min(c.aim for c in settings.classes)))
+        soonest = max(2, min(c.aim for c in settings.classes))
+        self.calm, self.calm_most = math.log(FIRST_GUESS * soonest), math.log(CALM_MOST * soonest)
         self.answers = 0
         self.zones: dict[int, Pool] = {}
         self.kinds: dict[int, Evidence] = {}
         self.sizes = [Evidence() for _ in settings.classes]
+        self.rates: dict[int, Evidence] = {}  # requests a microsecond that warm ones of a kind serve
+        self.work = Evidence()  # an uncrowded answer's time, the mean over all classes
         self.mean_worth = 0.0
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
         self.served = [1.0] * len(settings.classes)
         self.mean_work = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
-        self.heard_at = 0
+        self.heard_at = self.cold_until = 0
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.actions = now, []
@@ -216,6 +224,7 @@
             elif entry.started > upstream.listed_start:
                 upstream.fresh(entry)
             upstream.gone = entry.health is not Health.UP
+            self.cold_until = max(self.cold_until, upstream.listed_start + self.s.warm_up)
             # a size that is no positive number tells nothing
             upstream.size = entry.size if 0 < entry.size < math.inf else 1.0
         if news.form is not ListForm.CHANGES:
@@ -234,6 +243,8 @@
     def _report(self, upstream: Upstream, values: tuple[float, ...]) -> None:
         """Take a report in: requests at the upstream beyond those this instance sent itself."""
         seen = {f: v for f, v in zip(self.s.report_fields, values, strict=False) if 0 <= v < math.inf}
+        if Load.RATE in seen and self._warmth(upstream) >= 1:
+            self.rates.setdefault(upstream.kind, Evidence()).add(self.now, seen[Load.RATE] / SECOND)
         if Load.QUEUE in seen:
             figure = seen[Load.QUEUE]
         elif Load.INFLIGHT in seen:
@@ -268,7 +279,7 @@
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
-        if not upstream.listed_start or not self.s.warm_up:
+        if self.now >= self.cold_until or not upstream.listed_start or not self.s.warm_up:
             return 1.0
         age = max(0, self.now - upstream.listed_start) / self.s.warm_up
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
@@ -299,7 +310,9 @@
         for upstream, value in zip(upstreams, expected, strict=True):
             # guards against a fast-failing upstream that looks idle: errors count as load
             sound = (1 - min(0.9, upstream.errors)) ** ERROR_WEIGHT if upstream.errors else 1.0
-            odds.append(upstream.size * sound * max(0.05, value / mean) ** -SHARPNESS)
+            warmth = self._warmth(upstream)
+            share = upstream.size * warmth**COLD_WEIGHT
+            odds.append(share * sound * max(0.05, value * warmth / mean) ** -SHARPNESS)
         return odds
 
     # --- Candidates ------------------------------------------------------------------------------
@@ -312,7 +325,7 @@
         away: list[Upstream] = []
         if limits is not None:
             for upstream in self.fleet.values():
-                if self._fits(limits, upstream) and upstream not in barred:
+                if self._fits(request, limits, upstream) and upstream not in barred:
                     (home if upstream.zone == self.s.zone else away).append(upstream)
         # never mark a whole zone unavailable: when all are in a spell, none is
         return (
@@ -325,7 +338,31 @@
         return upstream.until <= self.now and request.klass.effect is not Effect.UNSAFE and not upstream.out
 
     def _draw(self, upstreams: list[Upstream], odds: list[float]) -> int | None:
-        return self.random.choices(range(len(upstreams)), odds)[0] if upstreams else None
+        """One drawn at these odds; cold ones no oftener than their credit allows, else none."""
+        if self.now < self.cold_until:
+            odds = self._clipped(upstreams, odds)
+        if not upstreams or sum(odds) <= 0:
+            return None
+        pick = self.random.choices(range(len(odds)), odds)[0]
+        return pick if pick < len(upstreams) else None
+
+    def _clipped(self, upstreams: list[Upstream], odds: list[float]) -> list[float]:
+        """Odds whose shares for thinly budgeted cold upstreams keep to their credit, which they use up.
+
+        What is left where little else is ready goes to a last place that stands for nobody.
+        """
+        total, free, caps = sum(odds), 1.0, {}
+        for at, upstream in enumerate(upstreams):
+            if self._thin(upstream):
+                caps[at] = min(odds[at] / total, max(0.0, upstream.credit))
+                upstream.credit -= caps[at]
+                free -= caps[at]
+        warm = total - sum(odds[at] for at in caps)
+        if not caps or not free > 0:
+            return odds
+        if warm <= 0:
+            return [*(caps.get(at, 0.0) for at in range(len(odds))), free]
+        return [caps[at] if at in caps else free * o / warm for at, o in enumerate(odds)]
 
     def _candidates(self, request: Request) -> None:
         """Both candidates, up front; each upstream's expectation is worked out once."""
@@ -359,7 +396,7 @@
 
     # --- Admission -------------------------------------------------------------------------------
     def _weigh(self, request: Request) -> None:
-        """All of a request's worth and cost that is the same for every upstream, in worths of a mean request."""
+        """A request's worth and cost that are the same for every upstream, in worths of a mean request."""
         klass, classes = request.arrival.klass, range(len(self.s.classes))
         scales = [self._scale(n) for n in classes]
         worths = [self._class_worth(n) for n in classes]
@@ -544,41 +581,73 @@
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
         upstream, size = attempt.upstream, self.sizes[attempt.klass]
+        if self._warmth(upstream) < 1:
+            return  # how warm it truly was is not told, so nothing is learnt of pace or crowding
         zone, kind = self._zone(upstream).crowd, self.kinds.setdefault(upstream.kind, Evidence())
         # guards against a clock too coarse to tell: an answer in no time still takes some
-        took = math.log(max(1, latency) * self._warmth(upstream) / (1 + attempt.backlog))
+        took = math.log(max(1, latency) / (1 + attempt.backlog))
         # in logarithms, so that one very heavy request does not make an upstream look slow; each part
         # learns what the others leave unexplained
         pace, scale, crowd = self._pace(upstream), size.beside(self.now, 0.0), zone.beside(self.now, 0.0)
         rest = took - scale - pace - self.calm
         self.answers += 1
         step = max(1 / self.answers, CALM_STEP * (1.0 if rest > 0 else CALM_FALL))
-        self.calm += min(1.0, step) * rest
+        self.calm = min(self.calm + min(1.0, step) * rest, self.calm_most)
         rest = took - scale - self.calm
         zone.add(self.now, rest - pace)
         kind.add(self.now, rest - crowd)
         upstream.pace.add(self.now, rest - crowd)
         size.add(self.now, took - self.calm - crowd - pace)
+        self.work.add(self.now, math.exp(min(took - crowd - pace, self.calm + 3)))
 
     # --- Cold start ------------------------------------------------------------------------------
-    def _cold_room(self, upstream: Upstream) -> bool:
+    def _cold_part(self, upstream: Upstream) -> tuple[float, float]:
+        """Of the fall budget of one span, in sends: the whole tier's safe part, and this instance's."""
+        share = self._warmth(upstream)
+        if share >= 1 or not self.s.overload_for or not self.s.fall_multiple:
+            return math.inf, math.inf
+        kind = self.kinds.get(upstream.kind)
+        slower = math.exp(max(0.0, kind.beside(self.now, 0.0))) if kind else 1.0
+        cost = 1.5 * (self.work.value * slower or max(c.aim for c in self.s.classes))
+        # what warm ones of its kind are reported to serve, or at least one request at a time
+        bears = max(
+            1 / cost, self.rates[upstream.kind].beside(self.now, 0.0) if upstream.kind in self.rates else 0
+        )
+        whole = self.s.fall_multiple * share * COLD_SAFETY * self.s.overload_for * bears
+        return whole, whole / self.s.instances
+
+    def _thin(self, upstream: Upstream) -> bool:
+        """Whether the instance's part is too small for turns; if so, its credit is brought up to date.
+
+        Guards against started upstreams that go unused for their whole warm-up, as when each of hundreds of
+        instances had one send every many spans: sends then fall by lot, at a mean whose chance still fits.
+        """
+        whole, part = self._cold_part(upstream)
+        if part * COLD_TURNS >= 1:
+            return False
+        room = math.sqrt(COLD_SPREAD**2 + 4 * whole / COLD_SAFETY) - COLD_SPREAD
+        mean = (room / 2) ** 2 / self.s.instances
+        spans = max(0, self.now - upstream.credit_at) / self.s.overload_for
+        upstream.credit, upstream.credit_at = min(mean, upstream.credit + mean * spans), self.now
+        return True
+
+    def _cold_room(self, request: Request, upstream: Upstream) -> bool:
         """The fall budget: holds when all instances act alike, whatever the odds say.
 
         In each span of `overload_for` the tier may send multiple x share x span of work; each instance
-        takes its part of a safe fraction, and where that is less than one request, every k-th span,
-        staggered by instance number and the upstream's age.
+        counts its own part of a safe fraction; where that is under one send, it has one every k-th span,
+        staggered by number and the upstream's age, and where even that is rare, only the lot decides.
         """
-        share = self._warmth(upstream)
-        if share >= 1 or not self.s.overload_for or not self.s.fall_multiple:
+        if self._warmth(upstream) >= 1:
             return True
-        cost = 1.5 * math.exp(self.calm) if self.answers else float(max(c.aim for c in self.s.classes))
-        span = self.s.overload_for
-        room = self.s.fall_multiple * share * COLD_SAFETY * span / cost / self.s.instances
-        turn = max(0, self.now - upstream.listed_start) // span
-        if room < 1 and (turn + self.s.instance) % math.ceil(1 / room):
+        part = self._cold_part(upstream)[1]
+        if part * COLD_TURNS < 1:
+            return upstream in (request.first, request.second) or not request.sends
+        turn = max(0, self.now - upstream.listed_start) // self.s.overload_for
+        if part < 1 and (turn + self.s.instance) % math.ceil(1 / part):
             return False
-        upstream.cold_sent = [t for t in upstream.cold_sent if t > self.now - span]
-        return len(upstream.cold_sent) < max(1, int(room))
+        upstream.cold_sent = [t for t in upstream.cold_sent if t > self.now - self.s.overload_for]
+        return len(upstream.cold_sent) < max(1, int(part))
 
     # --- The guard: every send and every final answer passes here --------------------------------
     def _limits(self, request: Request) -> tuple[int | None, int | None] | None:
@@ -599,18 +668,18 @@
                 return first.zone, first.cell if klass.group is Group.CELL else None
         return None, None
 
-    def _fits(self, limits: tuple[int | None, int | None], upstream: Upstream) -> bool:
+    def _fits(self, request: Request, limits: tuple[int | None, int | None], upstream: Upstream) -> bool:
         zone, cell = limits
         if upstream.gone or (zone is not None and upstream.zone != zone):
             return False
         return (cell is None or upstream.cell == cell) and (
-            not upstream.listed_start or self._cold_room(upstream)
+            not upstream.listed_start or self._cold_room(request, upstream)
         )
 
     def _may(self, request: Request, upstream: Upstream) -> bool:
         """Whether the rules allow this request's next attempt to go to this upstream now."""
         limits = self._limits(request)
-        return limits is not None and self._fits(limits, upstream)
+        return limits is not None and self._fits(request, limits, upstream)
 
     def _send(self, request: Request, upstream: Upstream) -> bool:
         if request.number not in self.requests or not self._may(request, upstream):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -429,3 +429,37 @@
     driver = Driver(entries=(Entry("h0", size=size), Entry("h1")))
     odds = home_odds(driver)
     assert odds[0] == pytest.approx(odds[1] * (size if size == 2.0 else 1.0))
+
+
+def test_warm_and_cold_upstreams_side_by_side() -> None:
+    """A warm upstream with a stated start beside a cold one: the warm one's budget has no end."""
+    driver = Driver(entries=fleet(2, 0))
+    driver.now += 30 * SECOND
+    old, new = Entry("old", started=driver.now - 20 * SECOND), Entry("new", started=driver.now)
+    driver.feed(FleetNews(ListForm.WHOLE, (old, new)))
+    assert {driver.serve(latency=10 * MS) for _ in range(20)} >= {"old"}
+
+
+def test_hundreds_of_instances_use_a_cold_upstream_and_do_not_push_it_over() -> None:
+    """Each one's part is far under a send: turns left it unused, so sends fall by lot, within the budget."""
+    count, service, start = 300, 50 * MS, 1010 * SECOND
+    drivers = []
+    for n in range(count):
+        driver = Driver(seed=n, instance=n, instances=count, entries=fleet(4, 0))
+        for _ in range(5):
+            driver.serve(latency=service)
+        driver.now = start
+        driver.feed(FleetNews(ListForm.CHANGES, (Entry("cold", started=start),)))
+        drivers.append(driver)
+    sent: list[int] = []
+    for step in range(20):
+        for n, driver in enumerate(drivers):
+            driver.now = start + step * 500 * MS + n * MS
+            request, actions = driver.ask()
+            sent += [driver.now for name in sends(actions) if name == "cold"]
+            for name in sends(actions):
+                driver.feed(Ended(request, 0, name, Outcome.OK, service, True))
+    assert len(sent) > 10
+    for at in sent:
+        share = 0.2 + 0.8 * (at - start) / (10 * SECOND)
+        assert service * sum(1 for t in sent if at <= t < at + SECOND) <= 3.0 * share * SECOND
