A jam of the warm ones is not held against started ones when their worth is weighed

Cause: crowding is pooled by zone; in a jam it made idle started upstreams look late, and the redraw before a refusal left them out.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -423,7 +423,11 @@
         Where requests take `crowded` times as long as alone, one more delays the others by about its own
         completion x (crowded - 1) in all; the chance's slope turns that delay into worth.
         """
-        crowded = expected * self._warmth(upstream) / math.exp(self.calm + self._pace(upstream))
+        warmth = self._warmth(upstream)
+        if warmth < 1:
+            # guards against started upstreams idling in a jam: its crowding is that of the warm ones
+            expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
+        crowded = expected * warmth / math.exp(self.calm + self._pace(upstream))
         late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
         cost = CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
         return self._chance(request, upstream, expected) * request.value - cost
