--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -62,6 +62,8 @@
 COLD_TURNS = 4  # instances take turns of a span each where one send each fits in so many spans; else by lot
 COLD_SPREAD = 2.5  # standard deviations of chance that must fit beside the mean of sends by lot
 COLD_WEIGHT = 1.5  # a share w of its capacity weighs an upstream's odds by w ** this
+LATE_WEIGHT = 16.0  # work costs 1 + this x share of late requests beyond LATE_USUAL: jams are hard to see
+LATE_USUAL = 0.1  # share of late requests that chance alone may bring, for very uneven work
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
@@ -142,7 +144,7 @@
 class Request:
     __slots__ = (
         "arrival", "at", "began", "first", "held", "klass", "net", "number", "out", "ran",
-        "room", "scale", "second", "sends", "size", "stretch", "tried", "until", "value",
+        "room", "scale", "second", "sends", "size", "strain", "stretch", "tried", "until", "value",
     )  # fmt: skip
 
     def __init__(self, arrival: Arrival, klass: RequestClass, now: int) -> None:
@@ -154,7 +156,7 @@
         self.ran: list[tuple[Upstream, int]] = []  # upstream and send time of all that may have run
         self.tried: list[Upstream] = []
         self.sends, self.net = 0, 0.0
-        self.scale = self.value = self.size = self.room = self.stretch = 1.0
+        self.scale = self.value = self.size = self.strain = self.room = self.stretch = 1.0
         self.held = self.began = False
 
 
@@ -186,6 +188,7 @@
         self.ask_wait = ASK_AGAIN
         self.watching = False
         self.heard_at = self.cold_until = 0
+        self.late = Evidence()  # share of sent requests that were late
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.actions = now, []
@@ -404,6 +407,8 @@
         size = work if work and self.s.worth_by_work else scales[klass]
         request.scale, request.value = scales[klass], worths[klass] * size / scales[klass]
         request.size = size
+        # guards against a jam taken for slow upstreams: lateness itself makes work dearer
+        request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
         # once nothing was heard for a while, nothing is known to be full: guards against refusing for ever
         request.stretch = self._faded(1.0, self.heard_at, 0.0, FORGET_SPEED)
@@ -429,7 +434,7 @@
             expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
         crowded = expected * warmth / math.exp(self.calm + self._pace(upstream))
         late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
-        cost = CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
+        cost = request.strain * CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
         return self._chance(request, upstream, expected) * request.value - cost
 
     def _class_worth(self, klass: int) -> float:
@@ -718,7 +723,10 @@
         """The request is over: nothing more goes out for it, copies still out are called off."""
         del self.requests[request.number]
         klass = request.arrival.klass
-        good = answered and self.now - request.at <= request.klass.aim
+        late = self.now - request.at > request.klass.aim
+        good = answered and not late
+        if request.sends:
+            self.late.add(self.now, float(late))
         self.served[klass] += SMOOTH / 8 * (good - self.served[klass])
         for number, attempt in request.out.items():
             self.orphans[(request.number, number)] = attempt
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -463,3 +463,18 @@
     for at in sent:
         share = 0.2 + 0.8 * (at - start) / (10 * SECOND)
         assert service * sum(1 for t in sent if at <= t < at + SECOND) <= 3.0 * share * SECOND
+
+
+def test_many_late_answers_make_work_dearer() -> None:
+    """A jam can look like slow upstreams; that answers come late then prices work all the same."""
+    nets = []
+    for late in (0.05, 0.5):
+        driver = Driver()
+        for _ in range(30):
+            driver.serve(latency=100 * MS)
+        request, _ = driver.ask()
+        balancer, record = driver.balancer, driver.balancer.fleet["h0"]
+        balancer.late.value = late
+        balancer._weigh(balancer.requests[request])
+        nets.append(balancer._net(balancer.requests[request], record, 400.0 * MS))
+    assert nets[1] < nets[0]
