A key pulls the odds alike at every instance, where upstreams are faster on keys they know

Each upstream has a place between 0 and 1 for a key and its odds are divided by place ** 2: graded, none removed, no message needed, and a hot key spreads over several.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Iterable
 from random import Random
 
@@ -64,6 +65,7 @@
 COLD_WEIGHT = 1.5  # a share w of its capacity weighs an upstream's odds by w ** this
 LATE_WEIGHT = 16.0  # work costs 1 + this x share of late requests beyond LATE_USUAL: jams are hard to see
 LATE_USUAL = 0.1  # share of late requests that chance alone may bring, for very uneven work
+KEY_PULL = 2.0  # a key raises the odds of the upstreams that it shares with all, the first of n by n ** this
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
@@ -112,11 +114,12 @@
 
     __slots__ = (
         "cell", "cold_sent", "credit", "credit_at", "errors", "gone", "heard_at", "kind",
-        "listed_start", "load_at", "name", "others", "out", "pace", "size", "spell", "until", "zone",
+        "listed_start", "load_at", "name", "others", "out", "pace", "size", "spell", "tag", "until", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
         self.name = entry.upstream
+        self.tag = zlib.crc32(entry.upstream.encode())
         self.out: dict[tuple[int, int], Attempt] = {}
         self.fresh(entry)
 
@@ -340,6 +343,21 @@
         """Out of its spell; the first sends after one are trials with a repeatable request."""
         return upstream.until <= self.now and request.klass.effect is not Effect.UNSAFE and not upstream.out
 
+    def _pulled(self, request: Request, upstreams: list[Upstream], odds: list[float]) -> list[float]:
+        """Odds raised by the key, alike at every instance: what lately served a key serves it with less work.
+
+        Each upstream has a place between 0 and 1 for the key; the odds are divided by it, so the pull is
+        graded and spreads a hot key over several.
+        """
+        key = request.arrival.key
+        if not self.s.warm_keys or not key:
+            return odds
+        mark = zlib.crc32(key.encode())
+        return [
+            o * ((((u.tag ^ mark) * 0x9E3779B1 & 0xFFFFFFFF) + 1) / 2**32) ** -KEY_PULL
+            for o, u in zip(odds, upstreams, strict=True)
+        ]
+
     def _draw(self, upstreams: list[Upstream], odds: list[float]) -> int | None:
         """One drawn at these odds; cold ones no oftener than their credit allows, else none."""
         if self.now < self.cold_until:
@@ -375,7 +393,8 @@
         abroad = [self._expected(u) for u in away]
         known = at_home or abroad
         mean = max(1.0, sum(known) / len(known)) if known else 1.0
-        odds, far = self._odds(at_home, home, mean), self._odds(abroad, away, mean)
+        odds = self._pulled(request, home, self._odds(at_home, home, mean))
+        far = self._pulled(request, away, self._odds(abroad, away, mean))
         pick, other = self._draw(home, odds), self._draw(away, far)
         if pick is not None and self._net(request, home[pick], at_home[pick]) < 0:
             # guards against refusing for one bad draw: drawn again among those worth the work
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 import pytest
 
 from linetrack.interface import (
+    Arrival,
     Cancel,
     ClientLeft,
     Ended,
@@ -478,3 +479,25 @@
         balancer._weigh(balancer.requests[request])
         nets.append(balancer._net(balancer.requests[request], record, 400.0 * MS))
     assert nets[1] < nets[0]
+
+
+def test_a_key_pulls_alike_at_every_instance_and_stays_graded() -> None:
+    went = []
+    for seed in (1, 2):
+        driver = Driver(seed=seed, warm_keys=True, entries=fleet(20, 0))
+        got: Counter[str] = Counter()
+        for number in range(300):
+            actions = driver.feed(Arrival(number, SAFE, 2 * SECOND, key="k:1"))
+            got[sends(actions)[0]] += 1
+            driver.end(number, sends(actions)[0])
+        went.append(got)
+    assert went[0].most_common(1)[0][0] == went[1].most_common(1)[0][0]
+    assert len(went[0]) > 1
+
+
+@pytest.mark.parametrize("warm", [True, False])
+def test_no_key_or_no_warm_keys_no_pull(warm: bool) -> None:
+    driver = Driver(warm_keys=warm, entries=fleet(4, 0))
+    request, _ = driver.ask()
+    held, home = driver.balancer.requests[request], list(driver.balancer.fleet.values())
+    assert driver.balancer._pulled(held, home, [1.0] * 4) == [1.0] * 4
