--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -71,6 +71,7 @@
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
+ASK_PACE = 10_000  # time between first calls to discovery, over all instances that start together
 ASK_AGAIN = 1 * SECOND  # first wait before discovery is asked again; doubles to ask_every / 2
 
 
@@ -239,11 +240,14 @@
                     upstream.gone = True
         if self.s.must_ask and not self.watching:
             self.watching = True
-            self.actions.append(Watch(True))
+            # guards against a stampede: instances that start together spread their calls by lot
+            spread = min(self.s.ask_every // 2, (self.s.instances - 1) * ASK_PACE)
+            wait = int(self.random.random() * spread)
+            self.actions.append(SetTimer(wait, "ask") if wait else Watch(True))
 
     def _ask_later(self) -> None:
         if self.s.must_ask:
-            self.actions.append(SetTimer(self.ask_wait, "ask"))
+            self.actions.append(SetTimer(int(self.ask_wait * (0.5 + self.random.random())), "ask"))
             self.ask_wait = min(2 * self.ask_wait, max(ASK_AGAIN, self.s.ask_every // 2))
 
     def _report(self, upstream: Upstream, values: tuple[float, ...]) -> None:
