Spillover compares with a usual draw among those worth it at home, not with the best

Cause: with 20 and more upstreams at home the best of many thin estimates always flatters, so the crowded zone kept its overload.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -407,7 +407,7 @@
                 pick = self._draw(home, [o * w for o, w in zip(odds, worthy, strict=True)])
         request.first = home[pick] if pick is not None else None
         if other is not None and (
-            pick is None or self._spill(request, home, at_home, away[other], abroad[other])
+            pick is None or self._spill(request, home, at_home, odds, away[other], abroad[other])
         ):
             request.first = away[other]
         cross = 1 + self.s.price_cross * CROSS_AVERSION
@@ -472,11 +472,21 @@
         )
 
     def _spill(
-        self, request: Request, home: list[Upstream], at_home: list[float], other: Upstream, abroad: float
+        self,
+        request: Request,
+        home: list[Upstream],
+        at_home: list[float],
+        odds: list[float],
+        other: Upstream,
+        abroad: float,
     ) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        best = max(self._net(request, u, e) for u, e in zip(home, at_home, strict=True))
-        return self._net(request, other, abroad) - best > self.s.price_cross
+        nets = [self._net(request, u, e) for u, e in zip(home, at_home, strict=True)]
+        worthy = sum(o for o, net in zip(odds, nets, strict=True) if net >= 0)
+        drawn = (
+            sum(o * net for o, net in zip(odds, nets, strict=True) if net >= 0) / worthy if worthy else 0.0
+        )
+        return self._net(request, other, abroad) - drawn > self.s.price_cross
 
     def _observe(self, arrival: Arrival) -> None:
         for n in range(len(self.asked)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -515,3 +515,16 @@
     request, _ = driver.ask()
     held, home = driver.balancer.requests[request], list(driver.balancer.fleet.values())
     assert driver.balancer._pulled(held, home, [1.0] * 4) == [1.0] * 4
+
+
+def test_spillover_goes_by_a_usual_draw_not_by_the_best_of_many() -> None:
+    """Among many thin estimates the best one always flatters: a crowded zone then never spilled over."""
+    driver = Driver(entries=fleet(20, 1))
+    for _ in range(30):
+        driver.serve(latency=60 * MS)
+    request, _ = driver.ask()
+    held, balancer = driver.balancer.requests[request], driver.balancer
+    *home, other = balancer.fleet.values()
+    usual = [50.0 * MS] + [390.0 * MS] * 19
+    assert balancer._spill(held, home, usual, [1.0] * 20, other, 50.0 * MS)
+    assert not balancer._spill(held, home, [50.0 * MS] * 20, [1.0] * 20, other, 50.0 * MS)
