--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -114,7 +114,7 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "cell", "cold_sent", "credit", "credit_at", "errors", "gone", "heard_at", "kind",
+        "alone", "cell", "cold_sent", "credit", "credit_at", "errors", "gone", "heard_at", "kind",
         "listed_start", "load_at", "name", "others", "out", "pace", "size", "spell", "tag", "until", "zone",
     )  # fmt: skip
 
@@ -130,6 +130,7 @@
         self.gone = entry.health is not Health.UP
         self.kind, self.size = entry.kind, 1.0
         self.others = self.errors = 0.0
+        self.alone = 1.0  # its time for a request while uncrowded, as of its last expectation
         self.pace = Evidence()  # logarithm of its time for a request over that of its kind
         self.heard_at = self.load_at = self.until = self.spell = 0
         self.cold_sent: list[int] = []
@@ -182,6 +183,9 @@
         self.answers = 0
         self.zones: dict[int, Pool] = {}
         self.kinds: dict[int, Evidence] = {}
+        # worked out once an event, not once an upstream: by zone and by kind
+        self.crowds: dict[int, float] = {}
+        self.pooled: dict[int, float] = {}
         self.sizes = [Evidence() for _ in settings.classes]
         self.rates: dict[int, Evidence] = {}  # requests a microsecond that warm ones of a kind serve
         self.work = Evidence()  # an uncrowded answer's time, the mean over all classes
@@ -196,6 +200,8 @@
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self.now, self.actions = now, []
+        self.crowds.clear()
+        self.pooled.clear()
         match event:
             case Arrival():
                 self._arrive(event)
@@ -280,7 +286,10 @@
         return mean + (value - mean) * math.exp((since - self.now) / over) if since else mean
 
     def _zone(self, upstream: Upstream) -> Pool:
-        return self.zones.setdefault(upstream.zone, Pool())
+        pool = self.zones.get(upstream.zone)
+        if pool is None:
+            pool = self.zones[upstream.zone] = Pool()
+        return pool
 
     def _backlog(self, upstream: Upstream, weight: float) -> float:
         """Requests at the upstream: own ones still out, and what its reports told beyond them."""
@@ -296,14 +305,21 @@
 
     def _pace(self, upstream: Upstream) -> float:
         """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
-        kind = self.kinds.get(upstream.kind)
-        return upstream.pace.beside(self.now, kind.beside(self.now, 0.0) if kind else 0.0)
+        pool = self.pooled.get(upstream.kind)
+        if pool is None:
+            kind = self.kinds.get(upstream.kind)
+            pool = self.pooled[upstream.kind] = kind.beside(self.now, 0.0) if kind else 0.0
+        return upstream.pace.beside(self.now, pool) if upstream.pace.weight else pool
 
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent now."""
-        level = self.calm + self._zone(upstream).crowd.beside(self.now, 0.0)
-        service = math.exp(level + self._pace(upstream))
-        expected = service * (1 + self._backlog(upstream, REPORT_WEIGHT)) / self._warmth(upstream)
+        crowd = self.crowds.get(upstream.zone)
+        if crowd is None:
+            crowd = self.crowds[upstream.zone] = math.exp(self._zone(upstream).crowd.beside(self.now, 0.0))
+        upstream.alone = math.exp(self.calm + self._pace(upstream))
+        expected = (
+            upstream.alone * crowd * (1 + self._backlog(upstream, REPORT_WEIGHT)) / self._warmth(upstream)
+        )
         if upstream.out:
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
             oldest = next(iter(upstream.out.values()))
@@ -455,7 +471,7 @@
         if warmth < 1:
             # guards against started upstreams idling in a jam: its crowding is that of the warm ones
             expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
-        crowded = expected * warmth / math.exp(self.calm + self._pace(upstream))
+        crowded = expected * warmth / upstream.alone
         late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
         cost = request.strain * CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
         return self._chance(request, upstream, expected) * request.value - cost
@@ -481,12 +497,15 @@
         abroad: float,
     ) -> bool:
         """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
+        gain = self._net(request, other, abroad) - self.s.price_cross
+        if gain <= 0:
+            return False
         nets = [self._net(request, u, e) for u, e in zip(home, at_home, strict=True)]
         worthy = sum(o for o, net in zip(odds, nets, strict=True) if net >= 0)
         drawn = (
             sum(o * net for o, net in zip(odds, nets, strict=True) if net >= 0) / worthy if worthy else 0.0
         )
-        return self._net(request, other, abroad) - drawn > self.s.price_cross
+        return gain > drawn
 
     def _observe(self, arrival: Arrival) -> None:
         for n in range(len(self.asked)):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -376,6 +376,8 @@
         balancer.zones[0].crowd.value, balancer.zones[0].crowd.weight = crowd, 1e9
         record.pace.value = record.pace.weight = 0.0
         balancer.kinds.clear()
+        balancer.crowds.clear()
+        balancer.pooled.clear()
         nets.append(balancer._net(held, record, balancer._expected(record)))
     assert nets[1] < nets[0]
 
