Clean-up: no settings left of peer messages, the chosen one's expectation is not worked out again

The two settings that only the peer-message attempt read are gone; the candidates' net worth takes the expectation already at hand; the weight of reports was an argument with one value, and an upstream without a report was faded for nothing.

--- a/linetrack/interface.py
+++ b/linetrack/interface.py
@@ -106,7 +106,6 @@
     overload_for: int = 0
     may_cancel: bool = False
     may_probe: bool = False
-    may_tell: bool = False
     parallel: bool = False
     retry_advice: bool = False
     max_retry_after: int = 0
@@ -114,7 +113,6 @@
     price_cross: float = 0.0
     price_waste: float = 0.0
     price_late: float = 0.0
-    price_peer: float = 0.0
     worth_by_work: bool = False
     weight_whole: float = 1.0
     weight_class: float = 0.0
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -291,10 +291,12 @@
             pool = self.zones[upstream.zone] = Pool()
         return pool
 
-    def _backlog(self, upstream: Upstream, weight: float) -> float:
+    def _backlog(self, upstream: Upstream) -> float:
         """Requests at the upstream: own ones still out, and what its reports told beyond them."""
+        if not upstream.load_at:
+            return len(upstream.out)
         others = self._faded(upstream.others, upstream.load_at, self._zone(upstream).others, FORGET_LOAD)
-        return len(upstream.out) + weight * (others if upstream.load_at else 0.0)
+        return len(upstream.out) + REPORT_WEIGHT * others
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
@@ -317,9 +319,7 @@
         if crowd is None:
             crowd = self.crowds[upstream.zone] = math.exp(self._zone(upstream).crowd.beside(self.now, 0.0))
         upstream.alone = math.exp(self.calm + self._pace(upstream))
-        expected = (
-            upstream.alone * crowd * (1 + self._backlog(upstream, REPORT_WEIGHT)) / self._warmth(upstream)
-        )
+        expected = upstream.alone * crowd * (1 + self._backlog(upstream)) / self._warmth(upstream)
         if upstream.out:
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
             oldest = next(iter(upstream.out.values()))
@@ -421,11 +421,11 @@
             worthy = [self._net(request, u, e) >= 0 for u, e in zip(home, at_home, strict=True)]
             if any(worthy):
                 pick = self._draw(home, [o * w for o, w in zip(odds, worthy, strict=True)])
-        request.first = home[pick] if pick is not None else None
+        request.first, expected = (home[pick], at_home[pick]) if pick is not None else (None, 0.0)
         if other is not None and (
             pick is None or self._spill(request, home, at_home, odds, away[other], abroad[other])
         ):
-            request.first = away[other]
+            request.first, expected = away[other], abroad[other]
         cross = 1 + self.s.price_cross * CROSS_AVERSION
         rest, share = home + away, odds + [o / cross for o in far]
         if request.first is not None:
@@ -434,7 +434,7 @@
         second = self._draw(rest, share)
         request.second = rest[second] if second is not None else None
         if request.first is not None:
-            request.net = self._net(request, request.first, self._expected(request.first))
+            request.net = self._net(request, request.first, expected)
 
     # --- Admission -------------------------------------------------------------------------------
     def _weigh(self, request: Request) -> None:
@@ -443,9 +443,8 @@
         scales = [self._scale(n) for n in classes]
         worths = [self._class_worth(n) for n in classes]
         work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
-        size = work if work and self.s.worth_by_work else scales[klass]
+        size = request.size = work if work and self.s.worth_by_work else scales[klass]
         request.scale, request.value = scales[klass], worths[klass] * size / scales[klass]
-        request.size = size
         # guards against a jam taken for slow upstreams: lateness itself makes work dearer
         request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
@@ -747,7 +746,7 @@
             return False
         attempt = Attempt(request, upstream, self.now)
         attempt.expected = expected = self._scale(attempt.klass) * self._expected(upstream)
-        attempt.backlog = self._backlog(upstream, REPORT_WEIGHT)
+        attempt.backlog = self._backlog(upstream)
         request.out[attempt.number] = attempt
         upstream.out[(request.number, attempt.number)] = attempt
         request.sends += 1
