--- /dev/null
+++ b/linetrack/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: sockets round the decision module, in gevent's greenlets."""
--- /dev/null
+++ b/linetrack/net/config.py
@@ -0,0 +1,120 @@
+"""What a sidecar is told: EDGE_* and the JSON file, read, checked and defaulted here only.
+
+Must never open a socket or hold anything that changes.  Every fault names the key that is to blame.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from linetrack.interface import Settings
+from linetrack.net import messages
+from linetrack.net.messages import MemberList
+from linetrack.settings import Node, SettingsError, read_settings
+
+EMPTY_LIST = MemberList(0, True, ())
+SOCKETS = 1024  # where no limit is told
+
+
+class ConfigError(Exception):
+    """The configuration is missing or makes no sense; the message names the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: MemberList
+    settings: Settings
+    class_names: tuple[str, ...]
+    zone_names: tuple[str, ...]
+    kind_names: tuple[str, ...]
+    report_fields: tuple[str, ...]
+    dial_timeout: int  # microseconds, as all times below
+    keep_alive: int
+    longest: int  # the longest deadline of any class
+
+
+def _address(value: str, key: str) -> tuple[str, int]:
+    try:
+        return messages.address(value)
+    except ValueError as fault:
+        raise ConfigError(f"{key}: {fault}") from None
+
+
+def _seed(value: Any) -> int:
+    """Hexadecimal text or a whole number."""
+    try:
+        return value if isinstance(value, int) else int(value, 16)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: {value!r} is no hexadecimal number") from None
+
+
+def _known(value: Any) -> MemberList:
+    if value is None:
+        return EMPTY_LIST
+    try:
+        return messages.member_list(value)
+    except messages.Malformed as fault:
+        raise ConfigError(f"known: {fault}") from None
+
+
+def _file(path: str) -> Node:
+    try:
+        with open(path, encoding="utf-8") as file:
+            value = json.load(file)
+    except OSError as fault:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {fault.strerror}") from None
+    except (ValueError, RecursionError) as fault:
+        raise ConfigError(f"EDGE_CONFIG: {path} is not JSON: {fault}") from None
+    return Node(value, "")
+
+
+def _read(environ: Mapping[str, str]) -> Config:
+    if not environ.get("EDGE_CONFIG"):
+        raise ConfigError("EDGE_CONFIG is missing")
+    root = _file(environ["EDGE_CONFIG"])
+    told = {}
+    for key in ("name", "listen", "discovery"):
+        told[key] = environ.get(f"EDGE_{key.upper()}") or root.text(key, "")
+        if not told[key]:
+            raise ConfigError(f"EDGE_{key.upper()} and {key} are missing")
+    if "settings" not in root.values:
+        raise ConfigError("settings is missing")
+    node = root.part("settings")
+    settings = read_settings(node.values, "settings")
+    allowed, classes = node.part("allowed"), node.parts("classes")
+    sockets = root.part("limits").whole("sockets", SOCKETS)
+    if sockets < 64:
+        raise ConfigError(f"limits.sockets: {sockets} is too few to serve with")
+    stats = node.part("stats")
+    return Config(
+        name=told["name"],
+        listen=_address(told["listen"], "EDGE_LISTEN"),
+        discovery=_address(told["discovery"], "EDGE_DISCOVERY"),
+        seed=_seed(root.values.get("seed", "0")),
+        sockets=sockets,
+        known=_known(root.values.get("known")),
+        settings=settings,
+        class_names=tuple(item.text("name", str(n)) for n, item in enumerate(classes)),
+        zone_names=tuple(node.names("azs")),
+        kind_names=tuple(node.names("skus")),
+        report_fields=tuple(stats.names("fields")) if settings.report_fields else (),
+        dial_timeout=allowed.whole("dialTimeoutUs", 250_000),
+        keep_alive=allowed.whole("keepaliveUs", 30_000_000),
+        longest=max(klass.deadline for klass in settings.classes),
+    )
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """The configuration, or a `ConfigError`."""
+    try:
+        return _read(environ)
+    except SettingsError as fault:
+        raise ConfigError(str(fault)) from None
--- /dev/null
+++ b/linetrack/net/messages.py
@@ -0,0 +1,367 @@
+"""HTTP bytes to small typed values and back.
+
+Owns the protocol's names (headers, paths, statuses) and its size limits; each message is decoded once and
+encoded once.  Must never touch a socket, read a clock or decide what becomes of a request.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+
+from linetrack.interface import Health
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 16 * 1024
+MOST_LIST = 16 * 1024 * 1024  # a discovery answer: thousands of entries with room to spare
+READY_PATH = "/_health"
+LIST_PATH = "/catalog/members"
+MEMBER_STATES = {"SERVING": Health.UP, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+
+
+class Malformed(Exception):
+    """Bytes that are no message of ours; `status` is what a client is told."""
+
+    def __init__(self, what: str, status: int = 400) -> None:
+        super().__init__(what)
+        self.status = status
+
+
+@dataclass(slots=True, frozen=True)
+class ClientRequest:
+    """One whole request from the application, as its bytes say."""
+
+    method: str
+    target: str
+    trace: str = ""
+    idempotency: str = ""
+    content_type: str = ""
+    expires: str = ""
+    again: bool = False
+    props: Mapping[str, str] | None = None
+    body: bytes = b""
+    keep: bool = True
+
+    @property
+    def path(self) -> str:
+        return self.target.partition("?")[0]
+
+    def steps(self) -> list[str]:
+        return [part for part in self.path.split("/") if part]
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """One whole answer from an upstream or from discovery."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = ""
+    never_ran: bool = False
+    report: str = ""
+    keep: bool = True
+
+
+class _Message:
+    """What both readers share: one message at a time, its head and body bounded."""
+
+    def __init__(self, most_body: int) -> None:
+        self.most_body = most_body
+        self.headers: dict[bytes, bytes] = {}
+        self.lengths: set[bytes] = set()
+        self.chunks: list[bytes] = []
+        self.size = self.head = self.waiting = 0
+        self.headed = False  # the head of the message at hand has come whole
+
+    def on_message_begin(self) -> None:
+        self.headers, self.chunks, self.headed = {}, [], False
+        self.lengths.clear()
+        self.size = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.head += len(name) + len(value)
+        if self.head > MOST_HEAD:
+            raise Malformed("the head is too large", 431)
+        name = name.lower()
+        if name == b"content-length":
+            self.lengths.add(value.strip())
+            if len(self.lengths) > 1:
+                raise Malformed("two lengths that disagree")
+        self.headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        self.head, self.waiting, self.headed = 0, 0, True
+        if self.lengths and b"transfer-encoding" in self.headers:
+            raise Malformed("a length and chunks at once")
+        length = next(iter(self.lengths), b"0")
+        if length.isdigit() and (len(length) > 12 or int(length) > self.most_body):
+            raise Malformed("the body is too large", 413)
+
+    def on_body(self, body: bytes) -> None:
+        self.size += len(body)
+        if self.size > self.most_body:
+            raise Malformed("the body is too large", 413)
+        self.chunks.append(body)
+
+    def text(self, name: bytes) -> str:
+        return self.headers.get(name, b"").decode("latin-1").strip()
+
+
+def _feed(parser: Any, data: bytes, message: _Message) -> None:
+    """Feed a parser; whatever is wrong with the bytes comes out as `Malformed`."""
+    message.waiting = 0 if message.headed else message.waiting + len(data)
+    try:
+        parser.feed_data(data)
+    except httptools.HttpParserUpgrade as fault:
+        raise Malformed("an upgrade was asked for") from fault
+    except httptools.HttpParserError as fault:
+        cause = fault.__context__
+        if isinstance(cause, Malformed):
+            raise cause from None
+        raise Malformed(f"not HTTP: {fault}") from None
+    # guards against a header without end, which the parser would buffer: what came is counted here
+    if not message.headed and message.waiting > 2 * MOST_HEAD:
+        raise Malformed("the head is too large", 431)
+
+
+class RequestReader(_Message):
+    """Bytes of one client connection to whole requests."""
+
+    def __init__(self) -> None:
+        super().__init__(MOST_BODY)
+        self.parser = httptools.HttpRequestParser(self)
+        self.target = b""
+        self.whole: list[ClientRequest] = []
+        self.open = False  # a request has begun and is not whole
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.target, self.open = b"", True
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+        if len(self.target) > MOST_HEAD:
+            raise Malformed("the target is too long", 431)
+
+    def on_message_complete(self) -> None:
+        self.open = False
+        self.whole.append(
+            ClientRequest(
+                self.parser.get_method().decode("latin-1"),
+                self.target.decode("latin-1"),
+                self.text(b"x-trace-id"),
+                self.text(b"idempotency-key"),
+                self.text(b"content-type"),
+                self.text(b"x-expires-in"),
+                self.text(b"x-second-try") == "1",
+                props(self.text(b"x-props")),
+                b"".join(self.chunks),
+                self.parser.should_keep_alive(),
+            )
+        )
+
+    def feed(self, data: bytes) -> list[ClientRequest]:
+        """The requests that these bytes complete, in order."""
+        _feed(self.parser, data, self)
+        done, self.whole = self.whole, []
+        return done
+
+
+class AnswerReader(_Message):
+    """Bytes of one connection to an upstream or to discovery to one whole answer at a time."""
+
+    def __init__(self, most_body: int = MOST_BODY) -> None:
+        super().__init__(most_body)
+        self.parser = httptools.HttpResponseParser(self)
+        self.whole: Answer | None = None
+        self.stray = False  # something came that no request asked for
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self.stray = self.whole is not None
+
+    def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status < 200 or self.whole is not None:
+            return
+        keep = self.parser.should_keep_alive()
+        self.whole = Answer(
+            status,
+            b"".join(self.chunks),
+            self.text(b"content-type"),
+            self.text(b"x-never-ran") == "1",
+            self.text(b"endpoint-load-metrics"),
+            keep,
+        )
+
+    def feed(self, data: bytes) -> Answer | None:
+        """The answer, once it is whole; what follows it makes the connection useless, not the answer."""
+        try:
+            _feed(self.parser, data, self)
+        except Malformed:
+            if self.whole is None:
+                raise
+            self.stray = True
+        return self.whole
+
+    def next(self) -> None:
+        self.whole = None
+
+
+def props(text: str) -> dict[str, str]:
+    """`name=value,name=value`; a part of another form is passed over."""
+    pairs = (part.partition("=") for part in text.split(","))
+    return {name.strip(): value.strip() for name, sign, value in pairs if sign}
+
+
+def patience(text: str) -> int | None:
+    """`X-Expires-In` in microseconds; None where it is no number."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return int(seconds * 1_000_000) if math.isfinite(seconds) else None
+
+
+def report(text: str, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report's values in the order of the settings; what is missing or no number is NaN."""
+    kind, _, rest = text.partition(" ")
+    if kind.upper() != "TEXT":
+        return ()
+    values = props(rest)
+    row = []
+    for field in fields:
+        try:
+            row.append(float(values.get(field, "nan")))
+        except ValueError:
+            row.append(math.nan)
+    return tuple(row) if any(value == value for value in row) else ()
+
+
+def _head(start: str, fields: list[tuple[str, str]], body: bytes) -> bytes:
+    lines = [start, *(f"{name}: {value}" for name, value in fields if value), "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+def encode_request(request: ClientRequest, host: str, remaining: int) -> bytes:
+    """The request as it goes on to an upstream, which is told how long it will be waited for."""
+    fields = [
+        ("Host", host),
+        ("X-Trace-Id", request.trace),
+        ("Idempotency-Key", request.idempotency),
+        ("X-Expires-In", f"{max(0, remaining) / 1_000_000:.6f}"),
+        ("Content-Type", request.content_type),
+    ]
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        fields.append(("Content-Length", str(len(request.body))))
+    return _head(f"{request.method} {request.target} HTTP/1.1", fields, request.body)
+
+
+def encode_answer(
+    status: int, body: bytes = b"", retry_after: int = 0, keep: bool = True, content_type: str = ""
+) -> bytes:
+    """An answer to the application; advice to come back is in seconds, never rounded to nothing."""
+    fields = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(body))),
+        ("Retry-After", f"{retry_after / 1_000_000:.6f}" if retry_after else ""),
+        ("Connection", "" if keep else "close"),
+    ]
+    return _head(f"HTTP/1.1 {status} {REASONS[status]}", fields, body)
+
+
+def encode_list_call(host: str, version: int | None = None, hold_ms: int = 0) -> bytes:
+    """A call to discovery: the whole list, or a watch from a version on."""
+    query = "" if version is None else f"?from={version}&hold_ms={hold_ms}"
+    return _head(f"GET {LIST_PATH}{query} HTTP/1.1", [("Host", host)], b"")
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """One entry of discovery's list, in its own words."""
+
+    name: str
+    address: tuple[str, int]
+    zone: str
+    kind: str
+    cell: int
+    health: Health
+    weight: float
+    started_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class MemberList:
+    version: int
+    full: bool
+    members: tuple[Member, ...]
+    passed_over: int = 0  # entries that made no sense
+
+
+def address(text: str) -> tuple[str, int]:
+    """`host:port`; a ValueError where it is none."""
+    host, sign, port = text.rpartition(":")
+    if not sign or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address:port")
+    return host.strip("[]"), int(port)
+
+
+def _member(value: Any) -> Member:
+    weight = value.get("weight", 1.0)
+    return Member(
+        _text(value["id"]),
+        # one that is gone needs no address
+        address(_text(value["addr"])) if value.get("state") != "DELETED" else ("", 0),
+        str(value.get("zone", "")),
+        str(value.get("kind", "")),
+        int(value.get("cell", 0)),
+        MEMBER_STATES[value["state"]],
+        float(weight),
+        max(0, int(value.get("started_ms", 0))),
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no name")
+    return value
+
+
+def member_list(value: Any) -> MemberList:
+    """Discovery's answer; an entry that makes no sense is passed over, as is all but the last of doubles."""
+    try:
+        version, full, entries = int(value["version"]), value["full"], value["servers"]
+        if not isinstance(full, bool) or not isinstance(entries, list):
+            raise ValueError("full or servers is of another type")
+    except (KeyError, TypeError, ValueError, OverflowError) as fault:
+        raise Malformed(f"no list of members: {fault!r}") from None
+    members: dict[str, Member] = {}
+    passed_over = 0
+    for entry in entries:
+        try:
+            member = _member(entry)
+        except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
+            passed_over += 1
+            continue
+        members[member.name] = member
+    if passed_over and not members:
+        raise Malformed("no entry of the list makes sense")
+    return MemberList(version, full, tuple(members.values()), passed_over)
+
+
+def decode_list(body: bytes) -> MemberList:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        raise Malformed("the list of members is not JSON") from None
+    return member_list(value)
--- /dev/null
+++ b/linetrack/net/owner.py
@@ -0,0 +1,237 @@
+"""The one greenlet that owns the decision module, its queue, its timers and its clock.
+
+Everything that the module is told comes through `put` with the time at which it was seen; every action that
+it returns is turned into one call here.  Must never touch a socket, wait for anything but its queue, or decide
+what becomes of a request: what it stops at the last moment, a rule forbids, and the module is told.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+
+import structlog
+from gevent.queue import Empty, SimpleQueue
+
+from linetrack import interface as i
+from linetrack.net.messages import Answer, ClientRequest
+from linetrack.rules import Balancer
+
+log = structlog.get_logger()
+
+#: Module time is Unix time in microseconds as of this process's start, and runs on monotonically: discovery's
+#: start times need no translation, and the clock never goes back when the machine's is set.
+_START = time.time_ns() - time.monotonic_ns()
+
+
+def clock() -> int:
+    return (_START + time.monotonic_ns()) // 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Final:
+    """A request's one final answer: an upstream's, a refusal (503, with advice) or a failure (502)."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = ""
+    retry_after: int = 0
+
+
+class Open:
+    """A request from the moment it is taken until it is over and its last attempt has ended."""
+
+    __slots__ = ("attempts", "number", "over", "reply", "request", "until")
+
+    def __init__(self, number: int, request: ClientRequest, until: int, reply: Callable[[Final], None]) -> None:
+        self.number, self.request, self.until, self.reply = number, request, until, reply
+        self.attempts: list[Attempt] = []
+        self.over = False
+
+
+class Attempt:
+    """One send; whoever ends it first, its greenlet or the owner, says how it ended."""
+
+    __slots__ = ("ended", "number", "open", "sent", "sock", "until", "upstream")
+
+    def __init__(self, open_: Open, upstream: str, sent: int, until: int) -> None:
+        self.open, self.upstream, self.sent, self.until = open_, upstream, sent, until
+        self.number = len(open_.attempts)
+        self.ended = False
+        self.sock: object = None  # what its greenlet waits on, so that giving up can close it
+
+
+@dataclass(slots=True, frozen=True)
+class Taken:
+    """A client's request has been read whole."""
+
+    request: ClientRequest
+    arrival: i.Arrival
+    reply: Callable[[Final], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """An attempt has ended."""
+
+    attempt: Attempt
+    outcome: i.Outcome
+    latency: int
+    answer: Answer | None = None
+    report: tuple[float, ...] = ()
+
+
+Item = Taken | Left | Done | i.FleetNews
+
+
+class Owner:
+    def __init__(
+        self,
+        settings: i.Settings,
+        seed: int,
+        start: Callable[[Attempt], None],
+        give_up: Callable[[Attempt], None],
+        watch: Callable[[], None],
+    ) -> None:
+        self.balancer = Balancer(settings, seed)
+        self.start, self.give_up, self.watch = start, give_up, watch
+        self.queue: SimpleQueue[tuple[int, Item]] = SimpleQueue()
+        self.now = clock()
+        self.open: dict[int, Open] = {}
+        self.timers: list[tuple[int, int, i.TimerDue | Attempt]] = []
+        self.order = count()
+        self.numbers = count(1)
+        self.counts = dict.fromkeys(("taken", "served", "refused", "failed", "left", "sends"), 0)
+
+    def put(self, item: Item, seen: int) -> None:
+        """Called from any greenlet: `seen` is when the socket showed it."""
+        self.queue.put((seen, item))
+
+    def number(self) -> int:
+        """A new request's number; never used twice."""
+        return next(self.numbers)
+
+    def run(self) -> None:
+        while True:
+            item = self._next()
+            if item is not None:
+                seen, what = item
+                self._due(seen)
+                self._step(seen, what)
+            else:
+                self._due(clock())
+
+    def _next(self) -> tuple[int, Item] | None:
+        """The next thing told, or None once the next timer is due."""
+        try:
+            if not self.timers:
+                return self.queue.get()
+            wait = self.timers[0][0] - clock()
+            if wait <= 0:
+                return self.queue.get_nowait()
+            return self.queue.get(timeout=wait / 1_000_000)
+        except Empty:
+            return None
+
+    def _due(self, now: int) -> None:
+        """Timers that were due by then, in their order, each at its own time."""
+        while self.timers and self.timers[0][0] <= now:
+            due, _, what = heapq.heappop(self.timers)
+            if isinstance(what, Attempt):
+                self._end(what, i.Outcome.TIMEOUT, due)
+            else:
+                self._handle(due, what)
+
+    def _step(self, seen: int, what: Item) -> None:
+        match what:
+            case Taken(request, arrival, reply):
+                self.counts["taken"] += 1
+                until = seen + arrival.patience
+                self.open[arrival.request] = Open(arrival.request, request, until, reply)
+                self._handle(seen, arrival)
+            case Left(number):
+                if (open_ := self.open.get(number)) and not open_.over:
+                    open_.over = True
+                    self.counts["left"] += 1
+                    self._handle(seen, i.ClientLeft(number))
+                    self._forget(open_)
+            case Done():
+                self._done(seen, what)
+            case i.FleetNews():
+                self._handle(seen, what)
+
+    def _end(self, attempt: Attempt, outcome: i.Outcome, now: int) -> None:
+        """Give an attempt up: its connection is closed at once, and the module is told."""
+        if not attempt.ended:
+            attempt.ended = True
+            self.give_up(attempt)
+            self._done(now, Done(attempt, outcome, max(0, now - attempt.sent)))
+
+    def _done(self, seen: int, done: Done) -> None:
+        attempt, open_ = done.attempt, done.attempt.open
+        if done.answer is not None and not open_.over:
+            self._answer(open_, Final(200, done.answer.body, done.answer.content_type), "served")
+        ended = i.Ended(
+            open_.number, attempt.number, attempt.upstream, done.outcome, done.latency, open_.over, done.report
+        )
+        self._handle(seen, ended)
+        self._forget(open_)
+
+    def _answer(self, open_: Open, final: Final, how: str) -> None:
+        open_.over = True
+        self.counts[how] += 1
+        open_.reply(final)
+
+    def _forget(self, open_: Open) -> None:
+        if open_.over and all(attempt.ended for attempt in open_.attempts):
+            self.open.pop(open_.number, None)
+
+    def _handle(self, now: int, event: i.Event) -> None:
+        self.now = max(self.now, now)
+        for action in self.balancer.handle(self.now, event):
+            self._act(action)
+
+    def _act(self, action: i.Action) -> None:
+        match action:
+            case i.Send(number, upstream, timeout):
+                open_ = self.open[number]
+                self.counts["sends"] += 1
+                until = min(open_.until, self.now + timeout) if timeout else open_.until
+                attempt = Attempt(open_, upstream, clock(), until)
+                open_.attempts.append(attempt)
+                self._set(until, attempt)
+                self.start(attempt)
+            case i.SetTimer(after, token):
+                self._set(self.now + after, i.TimerDue(token))
+            case i.Refuse(number, retry_after):
+                if (open_ := self.open.get(number)) and not open_.over:
+                    self._answer(open_, Final(503, retry_after=retry_after), "refused")
+                    self._forget(open_)
+            case i.Fail(number):
+                if (open_ := self.open.get(number)) and not open_.over:
+                    self._answer(open_, Final(502), "failed")
+                    self._forget(open_)
+            case i.Cancel(number, nth):
+                if open_ := self.open.get(number):
+                    # its end is told in its turn: the module is not called from within its own actions
+                    attempt = open_.attempts[nth]
+                    if not attempt.ended:
+                        attempt.ended = True
+                        self.give_up(attempt)
+                        seen = clock()
+                        self.put(Done(attempt, i.Outcome.CANCELLED, seen - attempt.sent), seen)
+            case i.Watch(True):
+                self.watch()
+            case _:
+                raise NotImplementedError(f"the module never emitted {action!r} before")
+
+    def _set(self, due: int, what: i.TimerDue | Attempt) -> None:
+        heapq.heappush(self.timers, (due, next(self.order), what))
--- /dev/null
+++ b/linetrack/net/sidecar.py
@@ -0,0 +1,142 @@
+"""The program: its phases from start to exit, as states of one object; signals and the greenlets that must live.
+
+Must never read a message or decide about a request.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+from collections.abc import Callable, Mapping
+from enum import Enum
+
+import gevent
+import structlog
+
+from linetrack.net.budget import Budget
+from linetrack.net.clients import Clients
+from linetrack.net.config import Config, ConfigError, read_config
+from linetrack.net.discovery import Discovery
+from linetrack.net.owner import Owner, clock
+from linetrack.net.upstreams import Upstreams
+
+log = structlog.get_logger()
+
+STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect
+LAST_WORD = 0.1  # seconds after the last answer, for the last bytes to be taken
+LOOK = 0.01  # seconds between looks whether all is answered
+GC_THRESHOLD = 20_000  # a collection costs milliseconds: seldom, over what is young only
+
+
+class Phase(Enum):
+    STARTING = "starting"  # configuration read, the module made
+    SERVING = "serving"  # taking requests
+    LEAVING = "leaving"  # SIGTERM has come: still accepting, as clients still come
+    EMPTYING = "emptying"  # nothing new is accepted; what was taken is answered
+    ENDED = "ended"
+
+
+class Sidecar:
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.phase = Phase.STARTING
+        budget = Budget(config.sockets)
+        self.upstreams = Upstreams(
+            budget, config.dial_timeout, config.keep_alive, config.report_fields, self._tell
+        )
+        self.owner = Owner(
+            config.settings, config.seed, self.upstreams.start, self.upstreams.give_up, self._watch
+        )
+        self.discovery = Discovery(
+            config.discovery,
+            self.owner,
+            self.upstreams,
+            config.zone_names,
+            config.kind_names,
+            config.settings.must_ask,
+        )
+        self.clients = Clients(self.owner, budget, config.class_names, self.serving)
+        self.leave = gevent.event.Event()
+
+    def _tell(self, done: object, seen: int) -> None:
+        self.owner.put(done, seen)  # type: ignore[arg-type]
+
+    def _watch(self) -> None:
+        self.discovery.watch()
+
+    def serving(self) -> bool:
+        return self.phase is Phase.SERVING
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        log.info("phase", now=phase.value, **self.owner.counts)
+
+    def run(self) -> int:
+        """From start to exit; the exit status."""
+        # a second signal changes nothing
+        gevent.signal_handler(signal.SIGTERM, self.leave.set)
+        gevent.signal_handler(signal.SIGINT, self.leave.set)
+        self.discovery.remember(self.config.known)
+        self.clients.listen(self.config.listen)
+        self._must_live("owner", self.owner.run)
+        accepting = self._must_live("listener", self.clients.accept)
+        self._must_live("discovery", self.discovery.run)
+        self._must_live("sweep", self.upstreams.sweep)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD)
+        self._enter(Phase.SERVING)
+        self.leave.wait()
+        self._enter(Phase.LEAVING)
+        began = clock()
+        gevent.sleep(STILL_COMING)
+        accepting.kill()
+        self.clients.stop_accepting()
+        self._enter(Phase.EMPTYING)
+        self.clients.close_between_requests()
+        limit = began + self.config.longest + int((STILL_COMING + LAST_WORD) * 1_000_000)
+        while self.clients.open and clock() < limit:
+            gevent.sleep(LOOK)
+        self._enter(Phase.ENDED)
+        return 0
+
+    def _must_live(self, name: str, work: Callable[[], None]) -> gevent.Greenlet[[], None]:
+        """A greenlet without which the program is no use: if it breaks, the process ends, loudly."""
+
+        def live() -> None:
+            try:
+                work()
+            except gevent.GreenletExit:
+                return
+            except BaseException:
+                log.exception("greenlet_broke", greenlet=name)
+                sys.stdout.flush()
+                os._exit(1)
+
+        return gevent.spawn(live)
+
+
+def main(environ: Mapping[str, str]) -> int:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    try:
+        config = read_config(environ)
+    except ConfigError as fault:
+        log.error("config_faulty", fault=str(fault))
+        return 2
+    sidecar = Sidecar(config)
+    try:
+        return sidecar.run()
+    except OSError as fault:
+        log.error("cannot_listen", address=config.listen, fault=str(fault))
+        return 1
--- /dev/null
+++ b/linetrack/net/upstreams.py
@@ -0,0 +1,238 @@
+"""Connections to upstreams: dialling, pools, and how each attempt ended.
+
+Owns the directory of upstreams (address, state) and every socket to one.  Must never choose an upstream, repeat
+an attempt or call the module: an attempt's end is put to the owner, once.  What guards a rule at the last
+moment stops the write here, and the outcome says that the attempt never ran.
+"""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+import structlog
+from gevent import socket
+
+from linetrack.interface import Health, Outcome
+from linetrack.net.budget import Budget
+from linetrack.net.messages import Answer, AnswerReader, Malformed, Member, encode_request, report
+from linetrack.net.owner import Attempt, Done, clock
+
+log = structlog.get_logger()
+
+KEEP_SHARE = 0.8  # of the upstream's keep-alive: past it a connection may be closed under the next request
+SWEEP = 1.0  # seconds between looks for connections that stood idle too long
+READ_SIZE = 64 * 1024
+
+
+class Connection:
+    __slots__ = ("address", "idle_since", "reader", "sock")
+
+    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        self.sock, self.address = sock, address
+        self.reader = AnswerReader()
+        self.idle_since = 0
+
+
+@dataclass(slots=True)
+class Known:
+    """What is known of one upstream, and its idle connections, the newest last."""
+
+    address: tuple[str, int]
+    health: Health
+    idle: list[Connection]
+
+
+class Upstreams:
+    def __init__(
+        self,
+        budget: Budget,
+        dial_timeout: int,
+        keep_alive: int,
+        fields: tuple[str, ...],
+        tell: Callable[[Done, int], None],
+    ) -> None:
+        self.budget, self.fields, self.tell = budget, fields, tell
+        self.dial_timeout, self.keep = dial_timeout, int(keep_alive * KEEP_SHARE)
+        self.known: dict[str, Known] = {}
+        budget.shrink = self.close_oldest
+
+    # --- The directory -----------------------------------------------------------------------------
+    def learn(self, members: tuple[Member, ...], full: bool) -> None:
+        listed = set()
+        for member in members:
+            listed.add(member.name)
+            known = self.known.get(member.name)
+            if known is None:
+                self.known[member.name] = Known(member.address, member.health, [])
+                continue
+            if member.health is not Health.GONE and member.address != known.address:
+                known.address = member.address
+                self._close_idle(known)
+            known.health = member.health
+            if known.health is not Health.UP:
+                self._close_idle(known)
+        if full:
+            for name, known in self.known.items():
+                if name not in listed:
+                    known.health = Health.GONE
+                    self._close_idle(known)
+
+    # --- Idle connections --------------------------------------------------------------------------
+    def _close(self, connection: Connection) -> None:
+        connection.sock.close()
+        self.budget.give_back()
+
+    def _close_idle(self, known: Known) -> None:
+        while known.idle:
+            self._close(known.idle.pop())
+
+    def close_oldest(self) -> bool:
+        """Close the connection that stood idle longest; False where none is idle."""
+        idle = [(known.idle[0].idle_since, known) for known in self.known.values() if known.idle]
+        if not idle:
+            return False
+        self._close(min(idle, key=lambda pair: pair[0])[1].idle.pop(0))
+        return True
+
+    def sweep(self) -> None:
+        """Close what stood idle too long, for ever."""
+        while True:
+            gevent.sleep(SWEEP)
+            before = clock() - self.keep
+            for known in self.known.values():
+                while known.idle and known.idle[0].idle_since < before:
+                    self._close(known.idle.pop(0))
+
+    def _reused(self, known: Known) -> Connection | None:
+        """The newest idle connection that is still sound."""
+        before = clock() - self.keep
+        while known.idle:
+            connection = known.idle.pop()
+            # guards against a stale connection: readable means closed, or an answer that nobody asked for
+            if connection.idle_since >= before and not _readable(connection.sock):
+                return connection
+            self._close(connection)
+        return None
+
+    # --- Attempts ----------------------------------------------------------------------------------
+    def start(self, attempt: Attempt) -> None:
+        gevent.spawn(self._run, attempt)
+
+    def give_up(self, attempt: Attempt) -> None:
+        """Close the connection that the attempt is on, dialled or half dialled; its greenlet wakes and ends."""
+        if attempt.sock is not None:
+            attempt.sock.close()
+
+    def _run(self, attempt: Attempt) -> None:
+        known = self.known[attempt.upstream]
+        connection: Connection | None = None
+        written = False
+        try:
+            connection = self._reused(known) or self._dial(attempt, known)
+            if connection is None:
+                return
+            attempt.sock = connection.sock
+            if self._forbidden(attempt, known):
+                self._finish(attempt, Outcome.MOOT)
+                if not connection.idle_since:
+                    connection.idle_since = clock()
+                known.idle.append(connection)
+                connection = None
+                return
+            host = f"{known.address[0]}:{known.address[1]}"
+            connection.sock.sendall(encode_request(attempt.open.request, host, attempt.until - clock()))
+            written = True
+            answer = self._read(connection)
+            seen = clock()
+            if answer is None:
+                self._finish(attempt, Outcome.RESET, seen=seen)
+                return
+            self._finish(attempt, _outcome(answer), answer, seen)
+            if answer.keep and not connection.reader.stray and known.health is Health.UP:
+                attempt.sock = None
+                connection.reader.next()
+                connection.idle_since = seen
+                known.idle.append(connection)
+                connection = None
+        except OSError:
+            self._finish(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
+        except Malformed as fault:
+            log.warning("answer_malformed", upstream=attempt.upstream, fault=str(fault))
+            self._finish(attempt, Outcome.ERROR)
+        except Exception:
+            # guards against a greenlet that ends silently and leaves its request without an end
+            log.exception("attempt_broke", upstream=attempt.upstream)
+            self._finish(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
+        finally:
+            if connection is not None:
+                self._close(connection)
+
+    def _forbidden(self, attempt: Attempt, known: Known) -> bool:
+        """Whether, while it dialled or waited, the upstream began to drain, or its request or time ended."""
+        return (
+            attempt.ended
+            or attempt.open.over
+            or known.health is not Health.UP
+            or clock() >= attempt.until
+        )
+
+    def _dial(self, attempt: Attempt, known: Known) -> Connection | None:
+        """A new connection; None where the attempt ended first, has been told so or could not connect."""
+        if self._forbidden(attempt, known):
+            self._finish(attempt, Outcome.MOOT)
+            return None
+        if not self.budget.take():
+            log.warning("no_descriptor", upstream=attempt.upstream)
+            self._finish(attempt, Outcome.CONNECT_FAILED)
+            return None
+        address = known.address
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        attempt.sock = sock
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(self.dial_timeout / 1_000_000)
+            sock.connect(address)
+            sock.settimeout(None)
+            return Connection(sock, address)
+        except BaseException:
+            sock.close()
+            self.budget.give_back()
+            raise
+
+    def _read(self, connection: Connection) -> Answer | None:
+        """The answer, whole; None where the connection ended first."""
+        while True:
+            data = connection.sock.recv(READ_SIZE)
+            if not data:
+                return None
+            answer = connection.reader.feed(data)
+            if answer is not None:
+                return answer
+
+    def _finish(
+        self, attempt: Attempt, outcome: Outcome, answer: Answer | None = None, seen: int | None = None
+    ) -> None:
+        if attempt.ended:
+            return
+        attempt.ended = True
+        seen = clock() if seen is None else seen
+        told = report(answer.report, self.fields) if answer and answer.report else ()
+        served = answer if outcome is Outcome.OK else None
+        self.tell(Done(attempt, outcome, seen - attempt.sent, served, told), seen)
+
+
+def _outcome(answer: Answer) -> Outcome:
+    if answer.status == 200:
+        return Outcome.OK
+    if answer.status in (503, 504) and answer.never_ran:
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+def _readable(sock: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/linetrack/settings.py
@@ -0,0 +1,152 @@
+"""The settings object, nested and with the wire's names, to the decision module's `Settings`.
+
+Used by both hosts.  Owns the names and defaults of every setting; must never know which host reads it.
+Values may be typed (JSON) or text (the simulator's pairs).  Unknown keys are passed over.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import Any
+
+from linetrack import interface as i
+
+EFFECTS = {"free": i.Effect.SAFE, "guarded": i.Effect.KEYED, "single_shot": i.Effect.UNSAFE}
+GROUPS = {"all": i.Group.ALL, "zone": i.Group.ZONE, "cell": i.Group.CELL}
+LOADS = {
+    "concurrent": i.Load.INFLIGHT,
+    "depth": i.Load.QUEUE,
+    "load_share": i.Load.UTIL,
+    "mean_ms": i.Load.LATENCY_MS,
+    "tps": i.Load.RATE,
+    "err_ps": i.Load.ERROR_RATE,
+}
+FLAGS = {"true": True, "1": True, "false": False, "0": False}
+
+
+class SettingsError(Exception):
+    """A setting that is missing or makes no sense; the message names its key."""
+
+
+class Node:
+    """One object of the settings, and the path that leads to it."""
+
+    def __init__(self, value: Any, path: str) -> None:
+        if not isinstance(value, Mapping):
+            raise SettingsError(f"{path}: {value!r} is no object")
+        self.values, self.path = value, path
+
+    def at(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
+    def part(self, name: str) -> Node:
+        """A part that may be left out."""
+        return Node(self.values.get(name) or {}, self.at(name))
+
+    def parts(self, name: str) -> list[Node]:
+        value = self.values.get(name) or []
+        if not isinstance(value, list):
+            raise SettingsError(f"{self.at(name)}: {value!r} is no list")
+        return [Node(item, f"{self.at(name)}.{n}") for n, item in enumerate(value)]
+
+    def names(self, name: str) -> list[str]:
+        value = self.values.get(name) or []
+        if isinstance(value, str):
+            value = [part for part in value.split(",") if part]
+        if not isinstance(value, list) or not all(isinstance(part, str) for part in value):
+            raise SettingsError(f"{self.at(name)}: {value!r} is no list of names")
+        return value
+
+    def text(self, name: str, default: str) -> str:
+        value = self.values.get(name, default)
+        if not isinstance(value, str):
+            raise SettingsError(f"{self.at(name)}: {value!r} is no text")
+        return value
+
+    def one_of(self, name: str, choices: dict[str, Any], default: str) -> Any:
+        value = self.text(name, default)
+        if value not in choices:
+            raise SettingsError(f"{self.at(name)}: {value!r} is none of {', '.join(choices)}")
+        return choices[value]
+
+    def number(self, name: str, default: float | None = None) -> float:
+        value = self.values.get(name, default)
+        if value is None:
+            raise SettingsError(f"{self.at(name)} is missing")
+        try:
+            number = float("nan") if isinstance(value, bool) else float(value)
+        except (TypeError, ValueError, OverflowError):
+            number = math.nan
+        if not math.isfinite(number):
+            raise SettingsError(f"{self.at(name)}: {value!r} is not a number")
+        return number
+
+    def whole(self, name: str, default: int | None = None) -> int:
+        number = self.number(name, default)
+        if number != int(number):
+            raise SettingsError(f"{self.at(name)}: {self.values.get(name)!r} is not a whole number")
+        return int(number)
+
+    def flag(self, name: str) -> bool:
+        value = self.values.get(name, False)
+        if isinstance(value, bool):
+            return value
+        if value not in FLAGS:
+            raise SettingsError(f"{self.at(name)}: {value!r} is not true or false")
+        return FLAGS[value]
+
+
+def _class(node: Node) -> i.RequestClass:
+    deadline = node.whole("deadlineUs")
+    return i.RequestClass(
+        effect=node.one_of("repeat", EFFECTS, "single_shot"),
+        aim=node.whole("aimUs", deadline),
+        deadline=deadline,
+        aim_stretch=node.number("aimStretch", 0.0),
+        worth=node.number("worth", 1.0),
+        late_worth=node.number("lateWorth", 0.0),
+        group=node.one_of("dedupScope", GROUPS, "all"),
+        window=node.whole("dedupWindowUs", 0),
+        stream=node.flag("stream"),
+    )
+
+
+def read_settings(values: Mapping[str, Any], path: str = "") -> i.Settings:
+    root = Node(values, path)
+    classes = tuple(_class(node) for node in root.parts("classes"))
+    if not classes:
+        raise SettingsError(f"{root.at('classes')} is missing or empty")
+    stats, rules, allowed = root.part("stats"), root.part("rules"), root.part("allowed")
+    prices, goal = root.part("deductions"), root.part("goal")
+    inline = stats.text("how", "off") != "off"
+    return i.Settings(
+        classes=classes,
+        instance=root.whole("me", 0),
+        instances=max(1, root.whole("balancers", 1)),
+        zone=root.whole("zone", 0),
+        zones=max(1, len(root.names("azs"))),
+        report_fields=tuple(LOADS.get(f, i.Load.OTHER) for f in (stats.names("fields") if inline else [])),
+        must_ask=root.text("registryMode", "automatic") == "subscribe",
+        ask_every=rules.whole("askEveryUs", 0),
+        drain_grace=rules.whole("drainGraceUs", 0),
+        cold_from=rules.number("coldFrom", 1.0),
+        warm_up=rules.whole("warmUpUs", 0),
+        fall_multiple=rules.number("fallMultiple", 0.0),
+        overload_for=rules.whole("overloadForUs", 0),
+        may_cancel=allowed.flag("mayCancel"),
+        may_probe=allowed.flag("mayProbe"),
+        parallel=allowed.flag("parallelTries"),
+        retry_advice=allowed.flag("retryAfter"),
+        max_retry_after=allowed.whole("maxRetryAfterUs", 0),
+        max_attempts=max(1, allowed.whole("maxAttempts", 1)),
+        price_cross=prices.number("crossZone", 0.0),
+        price_waste=prices.number("waste", 0.0),
+        price_late=prices.number("lateFail", 0.0),
+        worth_by_work=root.text("worthBy", "request") == "work",
+        weight_whole=goal.number("whole", 1.0),
+        weight_class=goal.number("worstClass", 0.0),
+        tenant_rates=tuple(node.number("quotaRps", 0.0) for node in root.parts("customers")),
+        over_share_worth=root.number("overShareWorth", 1.0),
+        warm_keys=root.part("extra").flag("warmKeys"),
+    )
--- a/linetrack/simhost/host.py
+++ b/linetrack/simhost/host.py
@@ -9,7 +9,7 @@
 from linetrack.interface import Entry, FleetNews, ListForm
 from linetrack.rules import Balancer
 from linetrack.simhost import wire
-from linetrack.simhost.settings import read_settings
+from linetrack.simhost.settings import from_pairs
 from linetrack.simhost.wire import EVENTS, FORMS, Fields, WireError
 
 
@@ -88,7 +88,7 @@
         _, fields = wire.split(line.replace(" bootInfo=", " ", 1))
         instance = wire.text(fields, "i")
         seed = wire.whole(fields, "entropy")
-        self.instances[instance] = Balancer(read_settings(fields), seed)
+        self.instances[instance] = Balancer(from_pairs(fields), seed)
 
     def _inventory(self, fields: Fields) -> None:
         entries = []
