A quiet watch outlasts the time to dial; clients, budget and owner tidied, stand-ins for tests

Ruled out: discovery's own answer (no bytes came) and the hold of 20 s. At fault: the dial's time-out stayed on the socket in Discovery._follow, so each quiet watch ended as refused. An older version now makes the next call ask for the whole list. A client that leaves is noticed by a peek while its request is out, which also bounds what is read ahead; connections are limited by memory beside descriptors.

--- a/linetrack/net/budget.py
+++ b/linetrack/net/budget.py
@@ -1,6 +1,6 @@
-"""The descriptor budget, shared by clients, upstreams and discovery.
+"""The budget for descriptors and memory, shared by clients, upstreams and discovery.
 
-Owns one count.  Must never open or close anything itself: who asks does, after `take` said yes.
+Owns the counts.  Must never open or close anything itself: who asks does, after it was told yes.
 """
 
 from __future__ import annotations
@@ -9,17 +9,20 @@
 
 RESERVE = 40  # standard streams, the event loop's own, the listener, discovery, files read at start
 UPSTREAM_SHARE = 0.4  # of the rest, kept for upstreams: clients wait in the backlog beyond it
+PROGRAM_MB = 64  # the program itself, with nothing on its connections
+CLIENT_KB = 384  # the most that one client's request, its copies and its answer hold at once
 
 
 class Budget:
-    def __init__(self, sockets: int) -> None:
+    def __init__(self, sockets: int, memory_mb: int) -> None:
         self.most = sockets - RESERVE
-        self.most_clients = int(self.most * (1 - UPSTREAM_SHARE))
+        room = max(1, (memory_mb - PROGRAM_MB) * 1024 // CLIENT_KB)
+        self.most_clients = min(int(self.most * (1 - UPSTREAM_SHARE)), room)
         self.used = self.clients = 0
         self.shrink: Callable[[], bool] = lambda: False
 
     def take(self) -> bool:
-        """Room for one connection to an upstream, if need be by closing an idle one."""
+        """Room for one more connection, if need be by closing an idle one."""
         if self.used >= self.most and not self.shrink():
             return False
         self.used += 1
@@ -37,4 +40,4 @@
 
     def give_back_client(self) -> None:
         self.clients -= 1
-        self.used -= 1
+        self.give_back()
--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -7,79 +7,55 @@
 from __future__ import annotations
 
 import errno
+from collections import deque
 from collections.abc import Callable
 
 import gevent
 import structlog
 from gevent import socket
 from gevent.event import AsyncResult
-from gevent.queue import Queue
 
 from linetrack.interface import Arrival
 from linetrack.net import messages
 from linetrack.net.budget import Budget
-from linetrack.net.messages import ClientRequest, Malformed, RequestReader
+from linetrack.net.messages import ClientRequest, MalformedError, RequestReader
 from linetrack.net.owner import Final, Left, Owner, Taken, clock
+from linetrack.net.upstreams import readable
 
 log = structlog.get_logger()
 
 READ_SIZE = 64 * 1024
 BACKLOG = 1024
-PIPELINED = 4  # requests read ahead on one connection, at most
 STALL = 10.0  # seconds for the rest of a request that has begun, and for an answer to be taken
 ROOM_WAIT = 0.02  # seconds until it is looked again whether there is room for a connection
 
 
 class Client:
-    """One connection: a greenlet that reads and one that serves."""
+    """One connection of the application."""
 
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
         self.sock, self.clients = sock, clients
-        self.ready: Queue[tuple[ClientRequest, int] | Malformed | None] = Queue(PIPELINED)
         self.reader = RequestReader()
-        self.number = 0  # the request that is with the owner
-        self.busy = False
+        self.whole: deque[ClientRequest] = deque()
+        self.seen = 0  # when the bytes that made them whole were seen
+        self.busy = False  # a request is with the owner or its answer on the way
 
-    def read(self) -> None:
-        """Bytes to requests until the connection ends; the end is told at once, also while one is out."""
-        try:
-            while True:
-                self.sock.settimeout(STALL if self.reader.open else None)
-                data = self.sock.recv(READ_SIZE)
-                if not data:
-                    break
-                seen = clock()
-                for request in self.reader.feed(data):
-                    self.busy = True
-                    self.ready.put((request, seen))
-        except Malformed as fault:
-            self.ready.put(fault)
-            return
-        except TimeoutError:
-            self.ready.put(Malformed("the request stalled", 408))
-            return
-        except OSError:
-            pass
-        if self.number:
-            self.clients.owner.put(Left(self.number), clock())
-        self.ready.put(None)
+    def idle(self) -> bool:
+        """Between requests, as far as can be seen."""
+        return not self.busy and not self.reader.open and not readable(self.sock)
 
     def serve(self) -> None:
-        reading = gevent.spawn(self.read)
+        keep = True
         try:
-            keep = True
-            while keep:
-                item = self.ready.get()
-                if item is None:
-                    return
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            while keep and (self.whole or self._read()):
                 self.busy = True
-                if isinstance(item, Malformed):
-                    log.info("request_malformed", fault=str(item), status=item.status)
-                    self._write(messages.encode_answer(item.status, keep=False))
-                    return
-                keep = self._one(*item)
-                self.busy = bool(self.ready.qsize()) or self.reader.open
-                keep = keep and not (self.clients.closing and not self.busy)
+                keep = self._one(self.whole.popleft())
+                self.busy = False
+        except MalformedError as fault:
+            self.busy = True
+            self.clients.refused_input(fault)
+            self._last_word(messages.encode_answer(fault.status, keep=False))
         except OSError:
             pass  # the client has gone, or takes nothing
         except Exception:
@@ -87,33 +63,66 @@
             log.exception("client_broke")
         finally:
             self.sock.close()
-            reading.kill(block=False)
             self.clients.ended(self)
 
-    def _one(self, request: ClientRequest, seen: int) -> bool:
+    def _read(self) -> bool:
+        """Read until at least one request is whole; False where the connection ends first."""
+        while not self.whole:
+            self.sock.settimeout(STALL if self.reader.open else None)
+            try:
+                data = self.sock.recv(READ_SIZE)
+            except TimeoutError:
+                raise MalformedError("the request stalled", 408) from None
+            if not data:
+                return False
+            self.seen = clock()
+            self.whole.extend(self.reader.feed(data))
+        return True
+
+    def _one(self, request: ClientRequest) -> bool:
         """Serve one request; whether the connection is kept."""
-        keep = request.keep and not self.clients.closing
         if request.path == messages.READY_PATH:
-            self._write(messages.encode_answer(200 if self.clients.serving() else 503, keep=keep))
-            return keep
+            return self._answer(request, Final(200 if self.clients.serving() else 503))
         arrival = self.clients.arrival(request)
         if isinstance(arrival, int):
-            self._write(messages.encode_answer(arrival, keep=keep))
-            return keep
+            return self._answer(request, Final(arrival))
         result: AsyncResult[Final | None] = AsyncResult()
-        self.number = arrival.request
-        self.clients.owner.put(Taken(request, arrival, result.set), seen)
+        self.clients.owner.put(Taken(request, arrival, result.set), self.seen)
+        watch = gevent.spawn(self._watch, arrival.request, result)
         final = result.get()
-        self.number = 0
-        keep = request.keep and not (self.clients.closing and not self.ready.qsize())
-        self._write(
-            messages.encode_answer(final.status, final.body, final.retry_after, keep, final.content_type)
-        )
+        watch.kill()
+        return final is not None and self._answer(request, final)
+
+    def _watch(self, number: int, result: AsyncResult[Final | None]) -> None:
+        """While the request is out: a client that closes has gone away, and the owner is told."""
+        try:
+            socket.wait_read(self.sock.fileno())
+            gone = not self.sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            gone = True
+        if gone and not result.ready():
+            self.clients.owner.put(Left(number), clock())
+            result.set(None)
+
+    def _answer(self, request: ClientRequest, final: Final) -> bool:
+        keep = request.keep and not (self.clients.closing and not self.whole)
+        data = messages.encode_answer(final.status, final.body, final.retry_after, keep, final.content_type)
+        self.sock.settimeout(STALL)
+        self.sock.sendall(data)
         return keep
 
-    def _write(self, data: bytes) -> None:
-        with gevent.Timeout(STALL, TimeoutError):
+    def _last_word(self, data: bytes) -> None:
+        """An answer before the request was read whole: what still comes is read away, so that no reset of the
+        connection overtakes the answer."""
+        try:
+            self.sock.settimeout(STALL)
             self.sock.sendall(data)
+            self.sock.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(1.0, TimeoutError("a last word was not taken")):
+                while self.sock.recv(READ_SIZE):
+                    pass
+        except OSError:
+            pass
 
 
 class Clients:
@@ -122,10 +131,12 @@
         owner: Owner,
         budget: Budget,
         classes: tuple[str, ...],
+        deadlines: tuple[int, ...],
         serving: Callable[[], bool],
     ) -> None:
         self.owner, self.budget, self.serving = owner, budget, serving
         self.classes = {name: n for n, name in enumerate(classes)}
+        self.deadlines = deadlines
         self.open: set[Client] = set()
         self.closing = False
         self.listener: socket.socket | None = None
@@ -141,21 +152,24 @@
         assert self.listener is not None
         while True:
             while not self.budget.take_client():
-                if not self._close_idle_one():
-                    gevent.sleep(ROOM_WAIT)
+                self._close_idle_one()
+                gevent.sleep(ROOM_WAIT)
             try:
                 sock, _ = self.listener.accept()
             except OSError as fault:
                 self.budget.give_back_client()
-                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED):
-                    log.error("accept_failed", fault=str(fault))
-                    gevent.sleep(ROOM_WAIT)
-                    continue
+                # guards against dying of what passes: no descriptor left, or a client that left the backlog
+                if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
+                    raise
+                log.error("accept_failed", fault=str(fault))
+                gevent.sleep(ROOM_WAIT)
+                continue
+            except gevent.GreenletExit:
+                self.budget.give_back_client()
                 raise
             self._begin(sock)
 
     def _begin(self, sock: socket.socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = Client(sock, self)
         self.open.add(client)
         gevent.spawn(client.serve)
@@ -164,13 +178,14 @@
         self.open.discard(client)
         self.budget.give_back_client()
 
-    def _close_idle_one(self) -> bool:
+    def _close_idle_one(self) -> None:
         for client in self.open:
-            if not client.busy and not client.reader.open:
-                client.ready.put(None)
-                client.busy = True
-                return True
-        return False
+            if client.idle():
+                client.sock.close()
+                return
+
+    def refused_input(self, fault: MalformedError) -> None:
+        log.warning("request_malformed", fault=str(fault), status=fault.status)
 
     def arrival(self, request: ClientRequest) -> Arrival | int:
         """What the module is told of a request, or the status that answers what is none."""
@@ -178,19 +193,19 @@
         klass = self.classes.get(steps[0]) if steps else None
         patience = messages.patience(request.expires)
         if klass is None or not request.trace or patience is None or patience < 0:
+            self.refused_input(MalformedError(f"class, id or deadline of {request.path[:80]!r}"))
             return 400
         if patience == 0:
             return 504
-        props = request.props or {}
         return Arrival(
             self.owner.number(),
             klass,
-            patience,
-            _whole(props.get("party", "")),
+            min(patience, self.deadlines[klass]),
+            _whole(request.props.get("party", "")),
             steps[-1] if len(steps) > 1 else "",
-            _whole(props.get("workUs", "")),
+            _whole(request.props.get("workUs", "")),
             request.again,
-            props.get("update") in ("1", "true"),
+            request.props.get("update") in ("1", "true"),
         )
 
     # --- The end -----------------------------------------------------------------------------------
@@ -211,8 +226,8 @@
         """From now on each connection is closed as soon as no request is on it."""
         self.closing = True
         for client in list(self.open):
-            if not client.busy and not client.reader.open:
-                client.ready.put(None)
+            if client.idle():
+                client.sock.close()
 
 
 def _whole(text: str) -> int:
--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -16,7 +17,7 @@
 from linetrack.settings import Node, SettingsError, read_settings
 
 EMPTY_LIST = MemberList(0, True, ())
-SOCKETS = 1024  # where no limit is told
+SOCKETS, MEMORY_MB = 1024, 192  # where no limit is told: what binds on the days that count
 
 
 class ConfigError(Exception):
@@ -30,6 +31,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: int
     known: MemberList
     settings: Settings
     class_names: tuple[str, ...]
@@ -61,7 +63,7 @@
         return EMPTY_LIST
     try:
         return messages.member_list(value)
-    except messages.Malformed as fault:
+    except messages.MalformedError as fault:
         raise ConfigError(f"known: {fault}") from None
 
 
@@ -90,7 +92,9 @@
     node = root.part("settings")
     settings = read_settings(node.values, "settings")
     allowed, classes = node.part("allowed"), node.parts("classes")
-    sockets = root.part("limits").whole("sockets", SOCKETS)
+    limits = root.part("limits")
+    # the process's own limit binds too, whatever was told
+    sockets = min(limits.whole("sockets", SOCKETS), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     if sockets < 64:
         raise ConfigError(f"limits.sockets: {sockets} is too few to serve with")
     stats = node.part("stats")
@@ -100,6 +104,7 @@
         discovery=_address(told["discovery"], "EDGE_DISCOVERY"),
         seed=_seed(root.values.get("seed", "0")),
         sockets=sockets,
+        memory_mb=limits.whole("memory_mb", MEMORY_MB),
         known=_known(root.values.get("known")),
         settings=settings,
         class_names=tuple(item.text("name", str(n)) for n, item in enumerate(classes)),
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -1,11 +1,13 @@
 """Discovery: the list of upstreams, called for and watched.
 
-Owns the connection to discovery and the version of the list at hand.  Must never decide when to ask again after a
-failure: that is told to the module as refused.
+Owns the connection to discovery and the version of the list at hand.  Must never decide when to ask again
+after a failure: that is told to the module as refused.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import gevent
 import structlog
 from gevent import socket
@@ -13,8 +15,8 @@
 
 from linetrack.interface import Entry, FleetNews, ListForm
 from linetrack.net import messages
-from linetrack.net.messages import AnswerReader, Malformed, Member, MemberList
-from linetrack.net.owner import Owner, clock
+from linetrack.net.messages import Answer, AnswerReader, MalformedError, Member, MemberList
+from linetrack.net.owner import clock
 from linetrack.net.upstreams import Upstreams
 
 log = structlog.get_logger()
@@ -22,20 +24,51 @@
 HOLD_MS = 20_000  # how long a watch waits for news
 SLACK = 2.0  # seconds beyond that in which it must be answered
 ANSWER_WITHIN = 5.0  # seconds for a call that need not wait
+READ_SIZE = 64 * 1024
 ASK_AGAIN = 1.0  # seconds after a failure where the module is not asked to call
 
 
+class Line:
+    """One connection to discovery."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.host = f"{address[0]}:{address[1]}"
+        self.reader = AnswerReader(messages.MOST_LIST)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self.sock.settimeout(ANSWER_WITHIN)
+            self.sock.connect(address)
+            # guards against the dial's time-out ending each watch that is quiet for longer
+            self.sock.settimeout(None)
+        except BaseException:
+            self.sock.close()
+            raise
+
+    def call(self, data: bytes, within: float) -> Answer:
+        """One call's answer, whole; raises where none comes in time."""
+        with gevent.Timeout(within, TimeoutError("discovery did not answer")):
+            self.sock.sendall(data)
+            answer = None
+            while answer is None:
+                piece = self.sock.recv(READ_SIZE)
+                if not piece:
+                    raise MalformedError("discovery closed the connection")
+                answer = self.reader.feed(piece)
+        self.reader.next()
+        return answer
+
+
 class Discovery:
     def __init__(
         self,
         address: tuple[str, int],
-        owner: Owner,
         upstreams: Upstreams,
+        tell: Callable[[FleetNews, int], None],
         zones: tuple[str, ...],
         kinds: tuple[str, ...],
         must_ask: bool,
     ) -> None:
-        self.address, self.owner, self.upstreams = address, owner, upstreams
+        self.address, self.upstreams, self.tell = address, upstreams, tell
         self.zones = {name: n for n, name in enumerate(zones)}
         self.kinds = {name: n for n, name in enumerate(kinds)}
         self.must_ask = must_ask
@@ -58,46 +91,40 @@
                 self.asked.clear()
             try:
                 self._follow()
-            except (OSError, Malformed) as fault:
+            except (OSError, MalformedError) as fault:
                 log.warning("discovery_failed", fault=str(fault) or type(fault).__name__)
-            self.owner.put(FleetNews(ListForm.REFUSED), clock())
+            self.tell(FleetNews(ListForm.REFUSED), clock())
             if not self.must_ask:
                 gevent.sleep(ASK_AGAIN)
 
     def _follow(self) -> None:
-        """Calls one after the other on one connection; ends by raising."""
-        host = f"{self.address[0]}:{self.address[1]}"
-        reader = AnswerReader(messages.MOST_LIST)
-        sock = socket.create_connection(self.address, timeout=ANSWER_WITHIN)
+        """Calls one after the other, on one connection while it is kept; ends by raising."""
+        line: Line | None = None
         first = True
         try:
             while True:
+                line = line or Line(self.address)
                 within = ANSWER_WITHIN if self.version is None else HOLD_MS / 1000 + SLACK
-                with gevent.Timeout(within, TimeoutError("discovery did not answer")):
-                    sock.sendall(messages.encode_list_call(host, self.version, HOLD_MS))
-                    answer = None
-                    while answer is None:
-                        if not (data := sock.recv(64 * 1024)):
-                            raise Malformed("discovery closed the connection")
-                        answer = reader.feed(data)
-                reader.next()
+                answer = line.call(messages.encode_list_call(line.host, self.version, HOLD_MS), within)
                 if answer.status != 200:
-                    raise Malformed(f"discovery answered {answer.status}")
-                told = messages.decode_list(answer.body)
-                self._take(told, first)
+                    raise MalformedError(f"discovery answered {answer.status}")
+                self._take(messages.decode_list(answer.body), first)
                 first = False
-                if not answer.keep or reader.stray:
-                    sock.close()
-                    sock = socket.create_connection(self.address, timeout=ANSWER_WITHIN)
-                    reader = AnswerReader(messages.MOST_LIST)
+                if not answer.keep or line.reader.stray:
+                    line.sock.close()
+                    line = None
         finally:
-            sock.close()
+            if line is not None:
+                line.sock.close()
 
     def _take(self, told: MemberList, first: bool) -> None:
         if told.passed_over:
             log.warning("members_passed_over", entries=told.passed_over)
         if self.version is not None and told.version < self.version:
-            raise Malformed(f"version {told.version} is older than {self.version}")
+            # guards against old news, and against staying deaf to a discovery that started over: the next
+            # call asks for the whole list, which then holds whatever its version
+            version, self.version = self.version, None
+            raise MalformedError(f"version {told.version} is older than {version}")
         self.version = told.version
         if told.members or told.full or first:
             self._tell(told, ListForm.WHOLE if told.full else ListForm.CHANGES)
@@ -105,13 +132,11 @@
     def _tell(self, told: MemberList, form: ListForm) -> None:
         seen = clock()
         self.upstreams.learn(told.members, form is not ListForm.CHANGES)
-        self.owner.put(FleetNews(form, tuple(self._entry(member) for member in told.members)), seen)
+        self.tell(FleetNews(form, tuple(self._entry(member) for member in told.members)), seen)
 
     def _entry(self, member: Member) -> Entry:
         # a zone or kind that the settings do not name gets a number of its own
         zone = self.zones.setdefault(member.zone, len(self.zones))
         kind = self.kinds.setdefault(member.kind, len(self.kinds))
         health = member.health
-        return Entry(
-            member.name, zone, kind, member.cell, health, member.weight, member.started_ms * 1000
-        )
+        return Entry(member.name, zone, kind, member.cell, health, member.weight, member.started_ms * 1000)
--- a/linetrack/net/messages.py
+++ b/linetrack/net/messages.py
@@ -9,7 +9,8 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from ipaddress import IPv4Address
 from typing import Any
 
 import httptools
@@ -29,7 +30,7 @@
 }  # fmt: skip
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """Bytes that are no message of ours; `status` is what a client is told."""
 
     def __init__(self, what: str, status: int = 400) -> None:
@@ -48,7 +49,7 @@
     content_type: str = ""
     expires: str = ""
     again: bool = False
-    props: Mapping[str, str] | None = None
+    props: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep: bool = True
 
@@ -91,26 +92,26 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self.head += len(name) + len(value)
         if self.head > MOST_HEAD:
-            raise Malformed("the head is too large", 431)
+            raise MalformedError("the head is too large", 431)
         name = name.lower()
         if name == b"content-length":
             self.lengths.add(value.strip())
             if len(self.lengths) > 1:
-                raise Malformed("two lengths that disagree")
+                raise MalformedError("two lengths that disagree")
         self.headers[name] = value
 
     def on_headers_complete(self) -> None:
         self.head, self.waiting, self.headed = 0, 0, True
         if self.lengths and b"transfer-encoding" in self.headers:
-            raise Malformed("a length and chunks at once")
+            raise MalformedError("a length and chunks at once")
         length = next(iter(self.lengths), b"0")
         if length.isdigit() and (len(length) > 12 or int(length) > self.most_body):
-            raise Malformed("the body is too large", 413)
+            raise MalformedError("the body is too large", 413)
 
     def on_body(self, body: bytes) -> None:
         self.size += len(body)
         if self.size > self.most_body:
-            raise Malformed("the body is too large", 413)
+            raise MalformedError("the body is too large", 413)
         self.chunks.append(body)
 
     def text(self, name: bytes) -> str:
@@ -118,20 +119,20 @@
 
 
 def _feed(parser: Any, data: bytes, message: _Message) -> None:
-    """Feed a parser; whatever is wrong with the bytes comes out as `Malformed`."""
+    """Feed a parser; whatever is wrong with the bytes comes out as `MalformedError`."""
     message.waiting = 0 if message.headed else message.waiting + len(data)
     try:
         parser.feed_data(data)
     except httptools.HttpParserUpgrade as fault:
-        raise Malformed("an upgrade was asked for") from fault
+        raise MalformedError("an upgrade was asked for") from fault
     except httptools.HttpParserError as fault:
         cause = fault.__context__
-        if isinstance(cause, Malformed):
+        if isinstance(cause, MalformedError):
             raise cause from None
-        raise Malformed(f"not HTTP: {fault}") from None
+        raise MalformedError(f"not HTTP: {fault}") from None
     # guards against a header without end, which the parser would buffer: what came is counted here
     if not message.headed and message.waiting > 2 * MOST_HEAD:
-        raise Malformed("the head is too large", 431)
+        raise MalformedError("the head is too large", 431)
 
 
 class RequestReader(_Message):
@@ -151,7 +152,7 @@
     def on_url(self, url: bytes) -> None:
         self.target += url
         if len(self.target) > MOST_HEAD:
-            raise Malformed("the target is too long", 431)
+            raise MalformedError("the target is too long", 431)
 
     def on_message_complete(self) -> None:
         self.open = False
@@ -208,7 +209,7 @@
         """The answer, once it is whole; what follows it makes the connection useless, not the answer."""
         try:
             _feed(self.parser, data, self)
-        except Malformed:
+        except MalformedError:
             if self.whole is None:
                 raise
             self.stray = True
@@ -240,9 +241,9 @@
         return ()
     values = props(rest)
     row = []
-    for field in fields:
+    for name in fields:
         try:
-            row.append(float(values.get(field, "nan")))
+            row.append(float(values.get(name, "nan")))
         except ValueError:
             row.append(math.nan)
     return tuple(row) if any(value == value for value in row) else ()
@@ -309,11 +310,16 @@
 
 
 def address(text: str) -> tuple[str, int]:
-    """`host:port`; a ValueError where it is none."""
-    host, sign, port = text.rpartition(":")
-    if not sign or not host or not port.isdigit() or not 0 < int(port) < 65536:
+    """`address:port`, the address a number as there is no DNS; a ValueError where it is none."""
+    host, _, port = text.rpartition(":")
+    try:
+        IPv4Address(host)
+        number = int(port)
+    except ValueError:
+        number = 0
+    if not 0 < number < 65536:
         raise ValueError(f"{text!r} is no address:port")
-    return host.strip("[]"), int(port)
+    return host, number
 
 
 def _member(value: Any) -> Member:
@@ -344,7 +350,7 @@
         if not isinstance(full, bool) or not isinstance(entries, list):
             raise ValueError("full or servers is of another type")
     except (KeyError, TypeError, ValueError, OverflowError) as fault:
-        raise Malformed(f"no list of members: {fault!r}") from None
+        raise MalformedError(f"no list of members: {fault!r}") from None
     members: dict[str, Member] = {}
     passed_over = 0
     for entry in entries:
@@ -355,7 +361,7 @@
             continue
         members[member.name] = member
     if passed_over and not members:
-        raise Malformed("no entry of the list makes sense")
+        raise MalformedError("no entry of the list makes sense")
     return MemberList(version, full, tuple(members.values()), passed_over)
 
 
@@ -363,5 +369,5 @@
     try:
         value = json.loads(body)
     except (ValueError, RecursionError):
-        raise Malformed("the list of members is not JSON") from None
+        raise MalformedError("the list of members is not JSON") from None
     return member_list(value)
--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -1,8 +1,8 @@
 """The one greenlet that owns the decision module, its queue, its timers and its clock.
 
 Everything that the module is told comes through `put` with the time at which it was seen; every action that
-it returns is turned into one call here.  Must never touch a socket, wait for anything but its queue, or decide
-what becomes of a request: what it stops at the last moment, a rule forbids, and the module is told.
+it returns is turned into one call here.  Must never touch a socket, wait for anything but its queue, or
+decide what becomes of a request.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
+from typing import Protocol
 
 import structlog
 from gevent.queue import Empty, SimpleQueue
@@ -46,12 +47,18 @@
 
     __slots__ = ("attempts", "number", "over", "reply", "request", "until")
 
-    def __init__(self, number: int, request: ClientRequest, until: int, reply: Callable[[Final], None]) -> None:
+    def __init__(
+        self, number: int, request: ClientRequest, until: int, reply: Callable[[Final], None]
+    ) -> None:
         self.number, self.request, self.until, self.reply = number, request, until, reply
         self.attempts: list[Attempt] = []
         self.over = False
 
 
+class Closable(Protocol):
+    def close(self) -> None: ...
+
+
 class Attempt:
     """One send; whoever ends it first, its greenlet or the owner, says how it ended."""
 
@@ -61,7 +68,7 @@
         self.open, self.upstream, self.sent, self.until = open_, upstream, sent, until
         self.number = len(open_.attempts)
         self.ended = False
-        self.sock: object = None  # what its greenlet waits on, so that giving up can close it
+        self.sock: Closable | None = None  # what its greenlet waits on: giving up closes it
 
 
 @dataclass(slots=True, frozen=True)
@@ -132,12 +139,14 @@
     def _next(self) -> tuple[int, Item] | None:
         """The next thing told, or None once the next timer is due."""
         try:
+            item: tuple[int, Item]
             if not self.timers:
-                return self.queue.get()
-            wait = self.timers[0][0] - clock()
-            if wait <= 0:
-                return self.queue.get_nowait()
-            return self.queue.get(timeout=wait / 1_000_000)
+                item = self.queue.get()
+            elif (wait := self.timers[0][0] - clock()) > 0:
+                item = self.queue.get(timeout=wait / 1_000_000)
+            else:
+                item = self.queue.get_nowait()
+            return item
         except Empty:
             return None
 
@@ -146,7 +155,7 @@
         while self.timers and self.timers[0][0] <= now:
             due, _, what = heapq.heappop(self.timers)
             if isinstance(what, Attempt):
-                self._end(what, i.Outcome.TIMEOUT, due)
+                self._expire(what, due)
             else:
                 self._handle(due, what)
 
@@ -168,19 +177,41 @@
             case i.FleetNews():
                 self._handle(seen, what)
 
-    def _end(self, attempt: Attempt, outcome: i.Outcome, now: int) -> None:
-        """Give an attempt up: its connection is closed at once, and the module is told."""
+    def _expire(self, attempt: Attempt, now: int) -> None:
+        """An attempt's time is over: its connection is closed at once, and the module is told."""
         if not attempt.ended:
             attempt.ended = True
             self.give_up(attempt)
-            self._done(now, Done(attempt, outcome, max(0, now - attempt.sent)))
+            self._done(now, Done(attempt, i.Outcome.TIMEOUT, max(0, now - attempt.sent)))
+
+    def _cancel(self, number: int, nth: int) -> None:
+        """Call an attempt off; its end is told in its turn, not from within the module's own actions."""
+        open_ = self.open.get(number)
+        if open_ is not None and not open_.attempts[nth].ended:
+            attempt, seen = open_.attempts[nth], clock()
+            attempt.ended = True
+            self.give_up(attempt)
+            self.put(Done(attempt, i.Outcome.CANCELLED, seen - attempt.sent), seen)
+
+    def _end(self, number: int, final: Final, how: str) -> None:
+        """The module's own final answer; what is over stays as it is."""
+        open_ = self.open.get(number)
+        if open_ is not None and not open_.over:
+            self._answer(open_, final, how)
+            self._forget(open_)
 
     def _done(self, seen: int, done: Done) -> None:
         attempt, open_ = done.attempt, done.attempt.open
         if done.answer is not None and not open_.over:
             self._answer(open_, Final(200, done.answer.body, done.answer.content_type), "served")
         ended = i.Ended(
-            open_.number, attempt.number, attempt.upstream, done.outcome, done.latency, open_.over, done.report
+            open_.number,
+            attempt.number,
+            attempt.upstream,
+            done.outcome,
+            done.latency,
+            open_.over,
+            done.report,
         )
         self._handle(seen, ended)
         self._forget(open_)
@@ -212,22 +243,11 @@
             case i.SetTimer(after, token):
                 self._set(self.now + after, i.TimerDue(token))
             case i.Refuse(number, retry_after):
-                if (open_ := self.open.get(number)) and not open_.over:
-                    self._answer(open_, Final(503, retry_after=retry_after), "refused")
-                    self._forget(open_)
+                self._end(number, Final(503, retry_after=retry_after), "refused")
             case i.Fail(number):
-                if (open_ := self.open.get(number)) and not open_.over:
-                    self._answer(open_, Final(502), "failed")
-                    self._forget(open_)
+                self._end(number, Final(502), "failed")
             case i.Cancel(number, nth):
-                if open_ := self.open.get(number):
-                    # its end is told in its turn: the module is not called from within its own actions
-                    attempt = open_.attempts[nth]
-                    if not attempt.ended:
-                        attempt.ended = True
-                        self.give_up(attempt)
-                        seen = clock()
-                        self.put(Done(attempt, i.Outcome.CANCELLED, seen - attempt.sent), seen)
+                self._cancel(number, nth)
             case i.Watch(True):
                 self.watch()
             case _:
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -1,6 +1,6 @@
-"""The program: its phases from start to exit, as states of one object; signals and the greenlets that must live.
+"""The program: its phases from start to exit, as named states of one object.
 
-Must never read a message or decide about a request.
+Owns signals and the greenlets that must live.  Must never read a message or decide about a request.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 
 import gevent
 import structlog
+from gevent.event import Event
 
 from linetrack.net.budget import Budget
 from linetrack.net.clients import Clients
@@ -42,7 +43,7 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.phase = Phase.STARTING
-        budget = Budget(config.sockets)
+        budget = Budget(config.sockets, config.memory_mb)
         self.upstreams = Upstreams(
             budget, config.dial_timeout, config.keep_alive, config.report_fields, self._tell
         )
@@ -51,14 +52,15 @@
         )
         self.discovery = Discovery(
             config.discovery,
-            self.owner,
             self.upstreams,
+            self.owner.put,
             config.zone_names,
             config.kind_names,
             config.settings.must_ask,
         )
-        self.clients = Clients(self.owner, budget, config.class_names, self.serving)
-        self.leave = gevent.event.Event()
+        deadlines = tuple(klass.deadline for klass in config.settings.classes)
+        self.clients = Clients(self.owner, budget, config.class_names, deadlines, self.serving)
+        self.leave = Event()
 
     def _tell(self, done: object, seen: int) -> None:
         self.owner.put(done, seen)  # type: ignore[arg-type]
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -1,8 +1,8 @@
 """Connections to upstreams: dialling, pools, and how each attempt ended.
 
-Owns the directory of upstreams (address, state) and every socket to one.  Must never choose an upstream, repeat
-an attempt or call the module: an attempt's end is put to the owner, once.  What guards a rule at the last
-moment stops the write here, and the outcome says that the attempt never ran.
+Owns the directory of upstreams (address, state) and every socket to one.  Must never choose an upstream,
+repeat an attempt or call the module: an attempt's end is put to the owner, once.  What guards a rule at the
+last moment stops the write here, and the outcome says that the attempt never ran.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 from linetrack.interface import Health, Outcome
 from linetrack.net.budget import Budget
-from linetrack.net.messages import Answer, AnswerReader, Malformed, Member, encode_request, report
+from linetrack.net.messages import Answer, AnswerReader, MalformedError, Member, encode_request, report
 from linetrack.net.owner import Attempt, Done, clock
 
 log = structlog.get_logger()
@@ -28,10 +28,10 @@
 
 
 class Connection:
-    __slots__ = ("address", "idle_since", "reader", "sock")
+    __slots__ = ("idle_since", "reader", "sock")
 
-    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        self.sock, self.address = sock, address
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
         self.reader = AnswerReader()
         self.idle_since = 0
 
@@ -112,7 +112,7 @@
         while known.idle:
             connection = known.idle.pop()
             # guards against a stale connection: readable means closed, or an answer that nobody asked for
-            if connection.idle_since >= before and not _readable(connection.sock):
+            if connection.idle_since >= before and not readable(connection.sock):
                 return connection
             self._close(connection)
         return None
@@ -122,7 +122,7 @@
         gevent.spawn(self._run, attempt)
 
     def give_up(self, attempt: Attempt) -> None:
-        """Close the connection that the attempt is on, dialled or half dialled; its greenlet wakes and ends."""
+        """Close the connection that the attempt is on, dialled or half dialled; its greenlet wakes."""
         if attempt.sock is not None:
             attempt.sock.close()
 
@@ -137,10 +137,6 @@
             attempt.sock = connection.sock
             if self._forbidden(attempt, known):
                 self._finish(attempt, Outcome.MOOT)
-                if not connection.idle_since:
-                    connection.idle_since = clock()
-                known.idle.append(connection)
-                connection = None
                 return
             host = f"{known.address[0]}:{known.address[1]}"
             connection.sock.sendall(encode_request(attempt.open.request, host, attempt.until - clock()))
@@ -159,7 +155,7 @@
                 connection = None
         except OSError:
             self._finish(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
-        except Malformed as fault:
+        except MalformedError as fault:
             log.warning("answer_malformed", upstream=attempt.upstream, fault=str(fault))
             self._finish(attempt, Outcome.ERROR)
         except Exception:
@@ -172,12 +168,7 @@
 
     def _forbidden(self, attempt: Attempt, known: Known) -> bool:
         """Whether, while it dialled or waited, the upstream began to drain, or its request or time ended."""
-        return (
-            attempt.ended
-            or attempt.open.over
-            or known.health is not Health.UP
-            or clock() >= attempt.until
-        )
+        return attempt.ended or attempt.open.over or known.health is not Health.UP or clock() >= attempt.until
 
     def _dial(self, attempt: Attempt, known: Known) -> Connection | None:
         """A new connection; None where the attempt ended first, has been told so or could not connect."""
@@ -188,17 +179,19 @@
             log.warning("no_descriptor", upstream=attempt.upstream)
             self._finish(attempt, Outcome.CONNECT_FAILED)
             return None
-        address = known.address
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        attempt.sock = sock
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(self.dial_timeout / 1_000_000)
-            sock.connect(address)
-            sock.settimeout(None)
-            return Connection(sock, address)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                attempt.sock = sock
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock.settimeout(self.dial_timeout / 1_000_000)
+                sock.connect(known.address)
+                sock.settimeout(None)
+                return Connection(sock)
+            except BaseException:
+                sock.close()
+                raise
         except BaseException:
-            sock.close()
             self.budget.give_back()
             raise
 
@@ -232,7 +225,7 @@
     return Outcome.ERROR
 
 
-def _readable(sock: socket.socket) -> bool:
+def readable(sock: socket.socket) -> bool:
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
     return bool(poll.poll(0))
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,7 +5,7 @@
 if ! test -x .venv-dev/bin/pytest; then
     python3 -m venv .venv-dev
 fi
-.venv-dev/bin/pip -q install -r requirements-dev.txt
+.venv-dev/bin/pip -q install -r requirements-dev.txt -r requirements.txt
 .venv-dev/bin/ruff format --check .
 .venv-dev/bin/ruff check .
 .venv-dev/bin/mypy
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 from linetrack import interface as i
 from linetrack.simhost import wire
 from linetrack.simhost.host import Host
-from linetrack.simhost.settings import read_settings
+from linetrack.simhost.settings import from_pairs
 from linetrack.simhost.wire import WireError
 
 ROOT = Path(__file__).parent.parent
@@ -108,7 +108,7 @@
         (["TICK clockUs=1", "REQ i=sidecar/4 ref=1", "YOUR_TURN"], "not enlisted"),
         (["TICK clockUs=1", enlist(), "REQ i=sidecar/0 ref=1", "YOUR_TURN"], "'kind' is missing"),
         (["TICK clockUs=1", enlist(), "NEWS i=sidecar/0", "YOUR_TURN"], "no known message"),
-        (["TICK clockUs=1", "ENLIST i=sidecar/0 entropy=1", "YOUR_TURN"], "classes.count"),
+        (["TICK clockUs=1", "ENLIST i=sidecar/0 entropy=1", "YOUR_TURN"], "classes is missing"),
         (["TICK clockUs=1", "INVENTORY slot=0 lines=1", "YOUR_TURN"], "starts with M"),
         (["TICK clockUs=1", enlist(), "MEMBERSHIP i=sidecar/0 form=all slot=5", "YOUR_TURN"], "slot=5"),
         (["TICK clockUs=1", enlist(), "MEMBERSHIP i=sidecar/0 form=odd", "YOUR_TURN"], "form='odd'"),
@@ -196,7 +196,7 @@
 
 def test_settings_are_read_and_unknown_ones_passed_over() -> None:
     _, pairs = wire.split("X " + BOOT)
-    settings = read_settings(pairs)
+    settings = from_pairs(pairs)
     assert settings.must_ask and settings.parallel and settings.zones == 2
     assert settings.report_fields == (i.Load.QUEUE, i.Load.RATE)
     assert [c.effect for c in settings.classes] == [i.Effect.SAFE, i.Effect.UNSAFE]
