--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -179,10 +179,10 @@
         self.budget.give_back_client()
 
     def _close_idle_one(self) -> None:
-        for client in self.open:
-            if client.idle():
-                client.sock.close()
-                return
+        """Close the connection whose last request is longest ago, of those between requests."""
+        idle = [client for client in self.open if client.idle()]
+        if idle:
+            min(idle, key=lambda client: client.seen).sock.close()
 
     def refused_input(self, fault: MalformedError) -> None:
         log.warning("request_malformed", fault=str(fault), status=fault.status)
--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -86,7 +86,7 @@
     for key in ("name", "listen", "discovery"):
         told[key] = environ.get(f"EDGE_{key.upper()}") or root.text(key, "")
         if not told[key]:
-            raise ConfigError(f"EDGE_{key.upper()} and {key} are missing")
+            raise ConfigError(f"{key} (EDGE_{key.upper()}) is missing")
     if "settings" not in root.values:
         raise ConfigError("settings is missing")
     node = root.part("settings")
@@ -100,8 +100,8 @@
     stats = node.part("stats")
     return Config(
         name=told["name"],
-        listen=_address(told["listen"], "EDGE_LISTEN"),
-        discovery=_address(told["discovery"], "EDGE_DISCOVERY"),
+        listen=_address(told["listen"], "listen (EDGE_LISTEN)"),
+        discovery=_address(told["discovery"], "discovery (EDGE_DISCOVERY)"),
         seed=_seed(root.values.get("seed", "0")),
         sockets=sockets,
         memory_mb=limits.whole("memory_mb", MEMORY_MB),
--- a/linetrack/net/messages.py
+++ b/linetrack/net/messages.py
@@ -105,7 +105,7 @@
         if self.lengths and b"transfer-encoding" in self.headers:
             raise MalformedError("a length and chunks at once")
         length = next(iter(self.lengths), b"0")
-        if length.isdigit() and (len(length) > 12 or int(length) > self.most_body):
+        if length.isdigit() and int(length) > self.most_body:
             raise MalformedError("the body is too large", 413)
 
     def on_body(self, body: bytes) -> None:
@@ -231,7 +231,7 @@
         seconds = float(text)
     except ValueError:
         return None
-    return int(seconds * 1_000_000) if math.isfinite(seconds) else None
+    return round(seconds * 1_000_000) if math.isfinite(seconds) else None
 
 
 def report(text: str, fields: tuple[str, ...]) -> tuple[float, ...]:
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -15,6 +15,7 @@
 import gevent
 import structlog
 from gevent.event import Event
+from structlog.typing import EventDict
 
 from linetrack.net.budget import Budget
 from linetrack.net.clients import Clients
@@ -28,6 +29,7 @@
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect
 LAST_WORD = 0.1  # seconds after the last answer, for the last bytes to be taken
 LOOK = 0.01  # seconds between looks whether all is answered
+LINE_EVERY = 1_000_000  # microseconds between two log lines of one event
 GC_THRESHOLD = 20_000  # a collection costs milliseconds: seldom, over what is young only
 
 
@@ -82,10 +84,10 @@
         gevent.signal_handler(signal.SIGINT, self.leave.set)
         self.discovery.remember(self.config.known)
         self.clients.listen(self.config.listen)
-        self._must_live("owner", self.owner.run)
-        accepting = self._must_live("listener", self.clients.accept)
-        self._must_live("discovery", self.discovery.run)
-        self._must_live("sweep", self.upstreams.sweep)
+        must_live("owner", self.owner.run)
+        accepting = must_live("listener", self.clients.accept)
+        must_live("discovery", self.discovery.run)
+        must_live("sweep", self.upstreams.sweep)
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
@@ -104,25 +106,48 @@
         self._enter(Phase.ENDED)
         return 0
 
-    def _must_live(self, name: str, work: Callable[[], None]) -> gevent.Greenlet[[], None]:
-        """A greenlet without which the program is no use: if it breaks, the process ends, loudly."""
 
-        def live() -> None:
-            try:
-                work()
-            except gevent.GreenletExit:
-                return
-            except BaseException:
-                log.exception("greenlet_broke", greenlet=name)
-                sys.stdout.flush()
-                os._exit(1)
+def must_live(name: str, work: Callable[[], None]) -> gevent.Greenlet:
+    """A greenlet without which the program is no use: if it breaks, the process ends, loudly."""
 
-        return gevent.spawn(live)
+    def live() -> None:
+        try:
+            work()
+        except gevent.GreenletExit:
+            return
+        except BaseException:
+            # guards against a program half alive: one that accepts and never answers
+            log.exception("greenlet_broke", greenlet=name)
+            os._exit(1)
+
+    return gevent.spawn(live)
+
+
+class Sparing:
+    """At most one line of an event a second, but for phases: a flood of lines would hold up the one core."""
+
+    def __init__(self, time: Callable[[], int] = clock) -> None:
+        self.time = time
+        self.said: dict[str, int] = {}
+        self.unsaid: dict[str, int] = {}
+
+    def __call__(self, logger: object, method: str, line: EventDict) -> EventDict:
+        event, now = str(line["event"]), self.time()
+        if method == "info":
+            return line
+        if now - self.said.get(event, -LINE_EVERY) < LINE_EVERY:
+            self.unsaid[event] = self.unsaid.get(event, 0) + 1
+            raise structlog.DropEvent
+        self.said[event] = now
+        if unsaid := self.unsaid.pop(event, 0):
+            line["unsaid"] = unsaid
+        return line
 
 
 def main(environ: Mapping[str, str]) -> int:
     structlog.configure(
         processors=[
+            Sparing(),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
             structlog.processors.format_exc_info,
--- a/linetrack/settings.py
+++ b/linetrack/settings.py
@@ -90,11 +90,10 @@
 
     def flag(self, name: str) -> bool:
         value = self.values.get(name, False)
-        if isinstance(value, bool):
-            return value
-        if value not in FLAGS:
+        flag = FLAGS.get(str(value).lower())
+        if flag is None:
             raise SettingsError(f"{self.at(name)}: {value!r} is not true or false")
-        return FLAGS[value]
+        return flag
 
 
 def _class(node: Node) -> i.RequestClass:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -227,7 +228,7 @@
 def settings(**allowed: Any) -> dict[str, Any]:
     may = {"mayCancel": True, "parallelTries": False, "retryAfter": True, "maxRetryAfterUs": 500 * MS}
     return {
-        "classes": CLASSES,
+        "classes": copy.deepcopy(CLASSES),
         "azs": ["north", "south"],
         "skus": ["plain"],
         "zone": 0,
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,115 @@
+"""Configuration: defaults, and faults that name the key."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linetrack.interface import Effect, Group, Load
+from linetrack.net.config import Config, ConfigError, read_config
+from tests.stand_ins import SECOND, config
+
+KNOWN: dict[str, Any] = {"id": "a", "addr": "127.0.0.1:9", "state": "SERVING"}
+
+
+def told() -> dict[str, Any]:
+    return {**config("127.0.0.1:8500", [KNOWN]), "listen": "127.0.0.1:8081"}
+
+
+def read(folder: Path, value: object, **environ: str) -> Config:
+    file = folder / "config.json"
+    file.write_text(value if isinstance(value, str) else json.dumps(value))
+    return read_config({"EDGE_CONFIG": str(file), **environ})
+
+
+def test_what_is_told_is_read(tmp_path: Path) -> None:
+    values = told()
+    values["settings"]["later"] = {"added": [1]}
+    read_values = read(tmp_path, {**values, "unknown": 1})
+    assert read_values.listen == ("127.0.0.1", 8081) and read_values.discovery == ("127.0.0.1", 8500)
+    assert read_values.seed == 0x8C1F30D27A5BE964
+    assert read_values.class_names == ("look", "pay", "book")
+    assert read_values.settings.classes[2].effect is Effect.KEYED
+    assert read_values.settings.classes[2].group is Group.ALL
+    assert read_values.settings.report_fields == (Load.QUEUE, Load.RATE)
+    assert read_values.settings.must_ask and read_values.settings.may_cancel
+    assert read_values.longest == 2 * SECOND
+    assert [member.name for member in read_values.known.members] == ["a"]
+
+
+def test_the_environment_comes_before_the_file(tmp_path: Path) -> None:
+    read_values = read(tmp_path, told(), EDGE_LISTEN="127.0.0.1:9001", EDGE_NAME="n7")
+    assert read_values.listen == ("127.0.0.1", 9001) and read_values.name == "n7"
+
+
+def test_the_process_limit_binds_too(tmp_path: Path) -> None:
+    values = told()
+    values["limits"]["sockets"] = 10**9
+    assert read(tmp_path, values).sockets < 10**9
+
+
+FAULTS: list[tuple[str, object]] = [
+    ("name", None),
+    ("listen", None),
+    ("listen", "here"),
+    ("listen", 7),
+    ("discovery", "localhost:99999"),
+    ("seed", "xyz"),
+    ("seed", []),
+    ("known", 7),
+    ("known", {"version": 1, "full": True, "servers": [{"id": "a"}]}),
+    ("limits", 7),
+    ("limits.sockets", 8),
+    ("limits.sockets", "many"),
+    ("limits.memory_mb", 1.5),
+    ("settings", None),
+    ("settings", "x"),
+    ("settings.classes", None),
+    ("settings.classes", "x"),
+    ("settings.classes", [7]),
+    ("settings.classes", []),
+    ("settings.classes.0.deadlineUs", None),
+    ("settings.classes.0.deadlineUs", "soon"),
+    ("settings.classes.0.deadlineUs", True),
+    ("settings.classes.0.aimUs", 0.5),
+    ("settings.classes.0.repeat", "maybe"),
+    ("settings.classes.0.repeat", 7),
+    ("settings.classes.0.worth", float("nan")),
+    ("settings.azs", 7),
+    ("settings.azs", [7]),
+    ("settings.registryMode", 7),
+    ("settings.rules", ["x"]),
+    ("settings.rules.coldFrom", "warm"),
+    ("settings.allowed.mayCancel", "perhaps"),
+    ("settings.allowed.mayCancel", []),
+    ("settings.allowed.dialTimeoutUs", "x"),
+]
+
+
+@pytest.mark.parametrize(("key", "value"), FAULTS)
+def test_a_fault_names_its_key(tmp_path: Path, key: str, value: object) -> None:
+    values: Any = told()
+    at = values
+    *above, last = key.split(".")
+    for name in above:
+        at = at[int(name)] if name.isdigit() else at[name]
+    if value is None:
+        del at[last]
+    else:
+        at[last] = value
+    with pytest.raises(ConfigError) as fault:
+        read(tmp_path, values)
+    assert key in str(fault.value)
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "7", "null", "[" * 100_000])
+def test_a_file_that_is_no_object_is_a_fault(tmp_path: Path, text: str) -> None:
+    with pytest.raises(ConfigError):
+        read(tmp_path, text)
+
+
+def test_no_file_is_a_fault(tmp_path: Path) -> None:
+    for environ in ({}, {"EDGE_CONFIG": ""}, {"EDGE_CONFIG": str(tmp_path / "none.json")}):
+        with pytest.raises(ConfigError, match="EDGE_CONFIG"):
+            read_config(environ)
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,208 @@
+"""The owner: order of events and timers, one answer for each request, one end for each attempt."""
+
+from collections.abc import Callable
+
+import gevent
+import pytest
+
+from linetrack import interface as i
+from linetrack.net import owner as module
+from linetrack.net.messages import Answer, ClientRequest
+from linetrack.net.owner import Attempt, Done, Final, Left, Owner, Taken
+from tests.stand_ins import MS, PATIENCE, SECOND
+
+SETTINGS = i.Settings(classes=(i.RequestClass(i.Effect.SAFE, 500 * MS, 2 * SECOND),))
+GET = ClientRequest("GET", "/look/k", "1")
+
+
+class Scripted:
+    """In the module's place: records what it is told and returns what a test wants."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[int, i.Event]] = []
+        self.wants: Callable[[i.Event], list[i.Action]] = lambda event: []
+
+    def handle(self, now: int, event: i.Event) -> list[i.Action]:
+        self.told.append((now, event))
+        return self.wants(event)
+
+    def ended(self) -> list[tuple[int, i.Outcome, bool]]:
+        return [(e.attempt, e.outcome, e.over) for _, e in self.told if isinstance(e, i.Ended)]
+
+
+class Played:
+    """An owner whose clock a test moves, and what it did."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = 1000 * SECOND
+        monkeypatch.setattr(module, "clock", lambda: self.now)
+        self.started: list[Attempt] = []
+        self.given_up: list[Attempt] = []
+        self.watches = 0
+        self.replies: list[Final] = []
+        self.owner = Owner(SETTINGS, 1, self.started.append, self.given_up.append, self.watch)
+        self.module = Scripted()
+        self.owner.balancer = self.module  # type: ignore[assignment]
+        self.greenlet = gevent.spawn(self.owner.run)
+
+    def watch(self) -> None:
+        self.watches += 1
+
+    def take(self, number: int = 1, patience: int = 2 * SECOND) -> None:
+        self.put(Taken(GET, i.Arrival(number, 0, patience), self.replies.append))
+
+    def put(self, item: module.Item, seen: int | None = None) -> None:
+        self.owner.put(item, self.now if seen is None else seen)
+        self.settle()
+
+    def settle(self) -> None:
+        """Until the owner has nothing left that is due."""
+        with gevent.Timeout(PATIENCE):
+            while not self.owner.queue.empty():
+                gevent.sleep(0)
+            gevent.sleep(0)
+
+    def wait(self, time: int) -> None:
+        """Move the clock on; the owner looks at it once anything is told."""
+        self.now += time
+        self.put(i.FleetNews(i.ListForm.CHANGES))
+
+
+@pytest.fixture
+def played(monkeypatch: pytest.MonkeyPatch) -> Played:
+    return Played(monkeypatch)
+
+
+def send(event: i.Event) -> list[i.Action]:
+    return [i.Send(event.request, "a")] if isinstance(event, i.Arrival) else []
+
+
+def ok(attempt: Attempt, latency: int = 5 * MS) -> Done:
+    attempt.ended = True
+    return Done(attempt, i.Outcome.OK, latency, Answer(200, b"body"))
+
+
+def test_the_first_answer_goes_to_the_client_and_ends_the_request(played: Played) -> None:
+    played.module.wants = send
+    played.take()
+    played.put(ok(played.started[0]))
+    assert played.replies == [Final(200, b"body")]
+    assert played.module.ended() == [(0, i.Outcome.OK, True)]
+    assert not played.owner.open
+
+
+def test_a_second_copy_is_told_as_over_and_answers_nobody(played: Played) -> None:
+    played.module.wants = lambda event: 2 * send(event)
+    played.take()
+    first, second = played.started
+    played.put(ok(second))
+    played.put(ok(first))
+    assert len(played.replies) == 1
+    assert played.module.ended() == [(1, i.Outcome.OK, True), (0, i.Outcome.OK, True)]
+    assert not played.owner.open
+
+
+def test_a_cancelled_attempt_is_closed_at_once_and_told_after_the_action(played: Played) -> None:
+    def wants(event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.Ended) and event.outcome is i.Outcome.OK:
+            return [i.Cancel(1, 0), i.Cancel(1, 0)]
+        return 2 * send(event)
+
+    played.module.wants = wants
+    played.take()
+    first, second = played.started
+    played.now += 7 * MS
+    played.put(ok(second))
+    assert played.given_up == [first]
+    assert played.module.ended() == [(1, i.Outcome.OK, True), (0, i.Outcome.CANCELLED, True)]
+    assert not played.owner.open
+
+
+def test_an_attempt_times_out_with_the_client_and_the_answer_is_still_owed(played: Played) -> None:
+    def wants(event: i.Event) -> list[i.Action]:
+        return [i.Fail(1)] if isinstance(event, i.Ended) else send(event)
+
+    played.module.wants = wants
+    played.take(patience=300 * MS)
+    played.wait(299 * MS)
+    assert not played.given_up
+    played.wait(1 * MS)
+    assert played.given_up == played.started
+    assert played.module.ended() == [(0, i.Outcome.TIMEOUT, False)]
+    assert played.replies == [Final(502)]
+
+
+def test_a_sends_own_timeout_ends_it_sooner(played: Played) -> None:
+    played.module.wants = lambda event: [i.Send(1, "a", 50 * MS)] if isinstance(event, i.Arrival) else []
+    played.take()
+    played.wait(50 * MS)
+    assert played.module.ended() == [(0, i.Outcome.TIMEOUT, False)]
+
+
+def test_a_refusal_carries_its_advice_and_a_late_answer_changes_nothing(played: Played) -> None:
+    def wants(event: i.Event) -> list[i.Action]:
+        return [*send(event), i.Refuse(1, 250 * MS)]
+
+    played.module.wants = wants
+    played.take()
+    played.put(ok(played.started[0]))
+    assert played.replies == [Final(503, retry_after=250 * MS)]
+    assert played.module.ended() == [(0, i.Outcome.OK, True)]
+
+
+def test_a_client_that_left_is_told_once_and_owed_nothing(played: Played) -> None:
+    played.module.wants = lambda event: [i.Cancel(1, 0)] if isinstance(event, i.ClientLeft) else send(event)
+    played.take()
+    played.put(Left(1))
+    played.put(Left(1))
+    assert [type(e) for _, e in played.module.told].count(i.ClientLeft) == 1
+    assert played.given_up == played.started and not played.replies and not played.owner.open
+
+
+def test_due_timers_come_before_later_events_each_at_its_own_time(played: Played) -> None:
+    def wants(event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.Arrival):
+            return [i.SetTimer(30 * MS, "late"), i.SetTimer(10 * MS, "soon"), i.SetTimer(10 * MS, "then")]
+        return []
+
+    played.module.wants = wants
+    at = played.now
+    played.take()
+    played.now += 100 * MS
+    played.put(i.FleetNews(i.ListForm.REFUSED), seen=at + 20 * MS)
+    told = [(now - at, getattr(e, "token", type(e).__name__)) for now, e in played.module.told[1:]]
+    assert told[:3] == [(10 * MS, "soon"), (10 * MS, "then"), (20 * MS, "FleetNews")]
+    played.wait(0)
+    assert (played.module.told[4][0] - at, played.module.told[4][1]) == (30 * MS, i.TimerDue("late"))
+
+
+def test_the_modules_clock_never_goes_back(played: Played) -> None:
+    played.put(i.FleetNews(i.ListForm.REFUSED), seen=played.now + 5)
+    played.put(i.FleetNews(i.ListForm.REFUSED), seen=played.now)
+    times = [now for now, _ in played.module.told]
+    assert times == sorted(times)
+
+
+def test_own_lag_does_not_count_as_latency(played: Played) -> None:
+    # guards against a busy moment read as slow upstreams: an event carries the time the socket showed it
+    played.module.wants = send
+    played.take()
+    seen = played.now + 5 * MS
+    played.now += 500 * MS
+    played.put(ok(played.started[0]), seen=seen)
+    now, event = played.module.told[-1]
+    assert isinstance(event, i.Ended) and event.latency == 5 * MS and now == seen
+
+
+def test_a_watch_is_asked_for(played: Played) -> None:
+    played.module.wants = lambda event: [i.Watch(True)]
+    played.put(i.FleetNews(i.ListForm.REMEMBERED))
+    assert played.watches == 1
+
+
+def test_an_action_never_seen_before_ends_the_greenlet(played: Played) -> None:
+    played.module.wants = lambda event: [i.Probe("a")]
+    played.put(i.FleetNews(i.ListForm.REMEMBERED))
+    with gevent.Timeout(PATIENCE):
+        played.greenlet.join()
+    assert isinstance(played.greenlet.exception, NotImplementedError)
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,266 @@
+"""Attempts against a stand-in: which outcome each end becomes, pools, and the guards before the write."""
+
+import socket
+from collections.abc import Callable, Iterator
+
+import gevent
+import pytest
+
+from linetrack.interface import Health, Outcome
+from linetrack.net.budget import RESERVE, Budget
+from linetrack.net.messages import ClientRequest, Member, address
+from linetrack.net.owner import Attempt, Done, Open, clock
+from linetrack.net.upstreams import Upstreams
+from tests.stand_ins import MS, PATIENCE, SECOND, Message, Upstream, Wire, answer, silent
+
+GET = ClientRequest("GET", "/look/k", "1")
+
+
+def member(name: str, where: str, health: Health = Health.UP) -> Member:
+    return Member(name, address(where), "north", "plain", 1, health, 1.0, 0)
+
+
+class Pool:
+    """Upstreams under test, and what the owner would be told."""
+
+    def __init__(self, *servers: Upstream, sockets: int = 1024, keep_alive: int = 30 * SECOND) -> None:
+        self.servers = servers
+        self.done: list[Done] = []
+        self.budget = Budget(sockets, 192)
+        self.upstreams = Upstreams(
+            self.budget, 250 * MS, keep_alive, ("depth",), lambda done, seen: self.done.append(done)
+        )
+        self.upstreams.learn(tuple(member(s.name, s.address) for s in servers), True)
+
+    def attempt(self, name: str = "a", patience: int = 20 * SECOND) -> Attempt:
+        now = clock()
+        open_ = Open(1, GET, now + patience, lambda final: None)
+        attempt = Attempt(open_, name, now, open_.until)
+        open_.attempts.append(attempt)
+        self.upstreams.start(attempt)
+        return attempt
+
+    def ends(self, count: int = 1) -> list[Outcome]:
+        with gevent.Timeout(PATIENCE):
+            while len(self.done) < count:
+                gevent.sleep(0.001)
+        gevent.sleep(0)
+        return [done.outcome for done in self.done]
+
+    def used(self) -> int:
+        return self.budget.used
+
+    def idle(self, name: str = "a") -> int:
+        return len(self.upstreams.known[name].idle)
+
+
+@pytest.fixture
+def server() -> Iterator[Upstream]:
+    made = Upstream("a")
+    yield made
+    made.close()
+
+
+ENDLESS = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"ffff\r\n" + b"x" * 0xFFFF + b"\r\nffff\r\n"
+)
+ENDS: list[tuple[str, bytes | None, Outcome]] = [
+    ("served", answer(b"ok"), Outcome.OK),
+    ("an error", answer(b"", 500), Outcome.ERROR),
+    ("turned away", answer(b"", 503, "X-Never-Ran: 1"), Outcome.FULL),
+    ("turned away as over", answer(b"", 504, "X-Never-Ran: 1"), Outcome.FULL),
+    ("a 503 that does not say so", answer(b"", 503), Outcome.ERROR),
+    ("an error that says so", answer(b"", 500, "X-Never-Ran: 1"), Outcome.ERROR),
+    ("another status", answer(b"", 404), Outcome.ERROR),
+    ("closed", None, Outcome.RESET),
+    ("no HTTP", b"SMTP\r\n\r\n", Outcome.ERROR),
+    ("too large", answer(b"x" * 65537), Outcome.ERROR),
+    ("endless", ENDLESS + b"x" * 0xFFFF, Outcome.ERROR),
+    ("endless head", b"HTTP/1.1 200 OK\r\nX-A: " + b"x" * 50_000, Outcome.ERROR),
+    ("two lengths", answer(b"ok", 200, "Content-Length: 9"), Outcome.ERROR),
+    ("a nonsensical report", answer(b"ok", 200, "Endpoint-Load-Metrics: TEXT depth=lots"), Outcome.OK),
+]
+
+
+@pytest.mark.parametrize(("reply", "outcome"), [end[1:] for end in ENDS], ids=[end[0] for end in ENDS])
+def test_each_end_becomes_its_outcome(server: Upstream, reply: bytes | None, outcome: Outcome) -> None:
+    server.script = lambda request, wire: reply
+    pool = Pool(server)
+    pool.attempt()
+    assert pool.ends() == [outcome]
+    assert (pool.done[0].answer is not None) == (outcome is Outcome.OK)
+    assert pool.done[0].report == ()
+    assert pool.used() == pool.idle()  # closed or kept, never lost
+
+
+def cut(data: bytes) -> Callable[[Message, Wire], bytes | None]:
+    def script(request: Message, wire: Wire) -> None:
+        wire.sock.sendall(data)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "data", [b"HTTP/1.1 200", answer(b"whole")[:-1], ENDLESS, b"HTTP/1.1 200 OK\r\n\r\n"]
+)
+def test_an_answer_cut_short_may_have_run_and_goes_to_nobody(server: Upstream, data: bytes) -> None:
+    server.script = cut(data[:60_000])
+    pool = Pool(server)
+    pool.attempt()
+    assert pool.ends() == [Outcome.RESET] and pool.done[0].answer is None
+    assert pool.used() == 0
+
+
+def test_a_report_comes_with_the_answer(server: Upstream) -> None:
+    server.script = lambda request, wire: answer(b"ok", 200, "Endpoint-Load-Metrics: TEXT depth=4")
+    pool = Pool(server)
+    pool.attempt()
+    pool.ends()
+    assert pool.done[0].report == (4.0,)
+
+
+def test_a_refused_connection_never_ran(server: Upstream) -> None:
+    server.close()
+    pool = Pool(server)
+    pool.attempt()
+    assert pool.ends() == [Outcome.CONNECT_FAILED] and pool.used() == 0
+
+
+def test_a_connection_that_never_comes_up_ends_at_the_settings_time() -> None:
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        pool = Pool()
+        pool.upstreams.learn((member("a", f"127.0.0.1:{full.getsockname()[1]}"),), True)
+        pool.attempt()
+        assert pool.ends() == [Outcome.CONNECT_FAILED] and pool.used() == 0
+        assert pool.done[0].latency >= 250 * MS
+        for sock in waiting:
+            sock.close()
+
+
+def test_connections_are_used_again_the_newest_first(server: Upstream) -> None:
+    pool = Pool(server)
+    for count in (1, 2):
+        pool.attempt()
+        pool.ends(count)
+    assert len(server.connections) == 1 and pool.idle() == pool.used() == 1
+    server.script = lambda request, wire: answer(b"ok", 200, "Connection: close")
+    pool.attempt()
+    pool.ends(3)
+    assert pool.idle() == pool.used() == 0
+
+
+def test_a_connection_that_the_upstream_closed_is_not_used(server: Upstream) -> None:
+    # guards against a stale connection: the request would end as a reset that may have run
+    def script(request: Message, wire: Wire) -> None:
+        wire.sock.sendall(answer(b"ok"))
+
+    server.script = script
+    pool = Pool(server)
+    for count in range(1, 6):
+        pool.attempt()
+        pool.ends(count)
+        with gevent.Timeout(PATIENCE):
+            while server.closed < count:
+                gevent.sleep(0.001)
+    assert pool.ends(5) == [Outcome.OK] * 5 and len(server.connections) == 5
+
+
+def test_a_second_answer_that_nobody_asked_for_spoils_the_connection(server: Upstream) -> None:
+    server.script = lambda request, wire: answer(b"ok") + answer(b"not yours")
+    pool = Pool(server)
+    pool.attempt()
+    pool.ends()
+    pool.attempt()
+    assert pool.ends(2) == [Outcome.OK] * 2
+    assert [done.answer.body for done in pool.done if done.answer] == [b"ok", b"ok"]
+    assert len(server.connections) == 2
+
+
+def test_a_connection_stands_idle_for_less_than_the_keep_alive(server: Upstream) -> None:
+    pool = Pool(server, keep_alive=0)
+    pool.attempt()
+    pool.ends()
+    gevent.sleep(0.002)
+    pool.attempt()
+    pool.ends(2)
+    assert len(server.connections) == 2
+
+
+def test_giving_up_closes_the_connection_at_once(server: Upstream) -> None:
+    server.script = silent
+    pool = Pool(server)
+    attempt = pool.attempt()
+    with gevent.Timeout(PATIENCE):
+        while not server.seen:
+            gevent.sleep(0.001)
+        attempt.ended = True
+        pool.upstreams.give_up(attempt)
+        while not server.closed or pool.used():
+            gevent.sleep(0.001)
+    assert not pool.done
+
+
+def test_a_silent_upstream_holds_up_nothing_else(server: Upstream) -> None:
+    other = Upstream("b")
+    server.script = silent
+    pool = Pool(server, other)
+    for _ in range(10):
+        pool.attempt("a")
+    pool.attempt("b")
+    assert pool.ends() == [Outcome.OK]
+    other.close()
+
+
+@pytest.mark.parametrize("health", [Health.DRAINING, Health.GONE])
+def test_nothing_is_written_to_what_began_to_drain(server: Upstream, health: Health) -> None:
+    pool = Pool(server)
+    pool.attempt()
+    pool.upstreams.learn((member("a", server.address, health),), False)
+    assert pool.ends() == [Outcome.MOOT] and not server.seen
+
+
+def test_nothing_is_written_once_drain_is_told_while_dialling(server: Upstream) -> None:
+    pool = Pool(server)
+    pool.attempt()
+    dial = pool.upstreams._dial
+
+    def slow(*args: object) -> object:
+        connection = dial(*args)  # type: ignore[arg-type]
+        pool.upstreams.learn((member("a", server.address, Health.DRAINING),), False)
+        return connection
+
+    pool.upstreams._dial = slow  # type: ignore[assignment,method-assign]
+    assert pool.ends() == [Outcome.MOOT] and not server.seen and pool.used() == 0
+
+
+def test_nothing_is_written_once_the_time_or_the_request_is_over(server: Upstream) -> None:
+    pool = Pool(server)
+    pool.attempt(patience=0)
+    pool.attempt().open.over = True
+    assert pool.ends(2) == [Outcome.MOOT] * 2 and not server.seen
+
+
+def test_idle_connections_are_closed_for_want_of_descriptors() -> None:
+    servers = [Upstream(name) for name in "abc"]
+    pool = Pool(*servers, sockets=RESERVE + 2)
+    for count, name in enumerate("abc", 1):
+        pool.attempt(name)
+        pool.ends(count)
+    assert pool.ends(3) == [Outcome.OK] * 3
+    assert [pool.idle(name) for name in "abc"] == [0, 1, 1] and pool.used() == 2
+    for server in servers:
+        server.close()
+
+
+def test_without_a_descriptor_an_attempt_never_ran(server: Upstream) -> None:
+    server.script = silent
+    pool = Pool(server, sockets=RESERVE + 1)
+    pool.attempt()
+    pool.attempt()
+    assert pool.ends() == [Outcome.CONNECT_FAILED]
