The answer is written before the module works on the attempt's end

At fault: Owner._done handed the answer over and then ran the module before the client's greenlet came on, and Client._one ended its watch before it wrote. The test failed before.

--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -89,9 +89,11 @@
         result: AsyncResult[Final | None] = AsyncResult()
         self.clients.owner.put(Taken(request, arrival, result.set), self.seen)
         watch = gevent.spawn(self._watch, arrival.request, result)
-        final = result.get()
-        watch.kill()
-        return final is not None and self._answer(request, final)
+        try:
+            final = result.get()
+            return final is not None and self._answer(request, final)
+        finally:
+            watch.kill()
 
     def _watch(self, number: int, result: AsyncResult[Final | None]) -> None:
         """While the request is out: a client that closes has gone away, and the owner is told."""
--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -14,6 +14,7 @@
 from itertools import count
 from typing import Protocol
 
+import gevent
 import structlog
 from gevent.queue import Empty, SimpleQueue
 
@@ -204,6 +205,9 @@
         attempt, open_ = done.attempt, done.attempt.open
         if done.answer is not None and not open_.over:
             self._answer(open_, Final(200, done.answer.body, done.answer.content_type), "served")
+            # guards against the client waiting for what the module learns: its greenlet writes first.  What
+            # others put meanwhile stands in the queue, behind this end
+            gevent.sleep(0)
         ended = i.Ended(
             open_.number,
             attempt.number,
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from gevent.event import AsyncResult
 
 from linetrack import interface as i
 from linetrack.net import owner as module
@@ -91,6 +92,22 @@
     assert not played.owner.open
 
 
+def test_an_answer_is_written_before_the_module_works_on_its_end(played: Played) -> None:
+    # guards against the client waiting for what the module learns from the answer
+    order: list[str] = []
+
+    def wants(event: i.Event) -> list[i.Action]:
+        order.append(type(event).__name__)
+        return send(event)
+
+    result: AsyncResult[Final] = AsyncResult()
+    result.rawlink(lambda given: order.append("written"))
+    played.module.wants = wants
+    played.put(Taken(GET, i.Arrival(1, 0, 2 * SECOND), result.set))
+    played.put(ok(played.started[0]))
+    assert order == ["Arrival", "written", "Ended"]
+
+
 def test_a_second_copy_is_told_as_over_and_answers_nobody(played: Played) -> None:
     played.module.wants = lambda event: 2 * send(event)
     played.take()
