--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -22,7 +22,7 @@
 log = structlog.get_logger()
 
 HOLD_MS = 20_000  # how long a watch waits for news
-SLACK = 2.0  # seconds beyond that in which it must be answered
+SLACK = 1.5  # seconds beyond that in which it must be answered; after 2 its news counts as told
 ANSWER_WITHIN = 5.0  # seconds for a call that need not wait
 READ_SIZE = 64 * 1024
 ASK_AGAIN = 1.0  # seconds after a failure where the module is not asked to call
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -47,29 +47,27 @@
         self.phase = Phase.STARTING
         budget = Budget(config.sockets, config.memory_mb)
         self.upstreams = Upstreams(
-            budget, config.dial_timeout, config.keep_alive, config.report_fields, self._tell
-        )
-        self.owner = Owner(
-            config.settings, config.seed, self.upstreams.start, self.upstreams.give_up, self._watch
+            budget,
+            config.dial_timeout,
+            config.keep_alive,
+            config.report_fields,
+            lambda done, seen: self.owner.put(done, seen),
         )
         self.discovery = Discovery(
             config.discovery,
             self.upstreams,
-            self.owner.put,
+            lambda news, seen: self.owner.put(news, seen),
             config.zone_names,
             config.kind_names,
             config.settings.must_ask,
         )
+        self.owner = Owner(
+            config.settings, config.seed, self.upstreams.start, self.upstreams.give_up, self.discovery.watch
+        )
         deadlines = tuple(klass.deadline for klass in config.settings.classes)
         self.clients = Clients(self.owner, budget, config.class_names, deadlines, self.serving)
         self.leave = Event()
 
-    def _tell(self, done: object, seen: int) -> None:
-        self.owner.put(done, seen)  # type: ignore[arg-type]
-
-    def _watch(self) -> None:
-        self.discovery.watch()
-
     def serving(self) -> bool:
         return self.phase is Phase.SERVING
 
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -226,6 +226,9 @@
 
 
 def readable(sock: socket.socket) -> bool:
+    """Whether a read would not wait: bytes or the end have come, or the socket is already closed here."""
+    if sock.fileno() < 0:
+        return True
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
     return bool(poll.poll(0))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -169,3 +169,15 @@
     watched.server.change({"id": "a", "state": "DELETED"})
     watched.forms(3)
     assert watched.upstreams.known["a"].health is Health.GONE
+
+
+def test_where_changes_come_by_themselves_it_calls_unasked_and_again(
+    watched: Watched, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "ASK_AGAIN", 0.01)
+    watched.discovery.must_ask = False
+    watched.server.scripted = [answer(b"", 503)]
+    watched.start()
+    assert watched.forms(2)[1] is ListForm.REFUSED
+    watched.server.change(entry("a", state="DRAINING"))
+    assert watched.forms(3)[2] is ListForm.CHANGES
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 from pathlib import Path
 from typing import Any
@@ -13,6 +14,7 @@
 
 from tests.stand_ins import (
     MS,
+    ROOT,
     SECOND,
     Message,
     Sidecar,
@@ -349,7 +351,9 @@
 
 def test_the_simulators_side_imports_nothing_of_the_sockets() -> None:
     code = "import sys, linetrack.simhost.host; print(*sys.modules)"
-    out = subprocess.run(["python3", "-S", "-c", code], capture_output=True, text=True, check=True).stdout
+    out = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    ).stdout
     assert not {name for name in out.split() if name.startswith(("gevent", "linetrack.net", "structlog"))}
 
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -10,7 +10,7 @@
 from linetrack.net.budget import RESERVE, Budget
 from linetrack.net.messages import ClientRequest, Member, address
 from linetrack.net.owner import Attempt, Done, Open, clock
-from linetrack.net.upstreams import Upstreams
+from linetrack.net.upstreams import Upstreams, readable
 from tests.stand_ins import MS, PATIENCE, SECOND, Message, Upstream, Wire, answer, silent
 
 GET = ClientRequest("GET", "/look/k", "1")
@@ -264,3 +264,12 @@
     pool.attempt()
     pool.attempt()
     assert pool.ends() == [Outcome.CONNECT_FAILED]
+
+
+def test_a_socket_closed_here_is_no_idle_one() -> None:
+    # guards against looking at the descriptor of a connection that is already being closed
+    one, other = gevent.socket.socketpair()
+    assert not readable(one)
+    one.close()
+    assert readable(one)
+    other.close()
