--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,10 +1,13 @@
 """The owner: order of events and timers, one answer for each request, one end for each attempt."""
 
 from collections.abc import Callable
+from random import Random
 
 import gevent
 import pytest
 from gevent.event import AsyncResult
+from hypothesis import given
+from hypothesis import strategies as st
 
 from linetrack import interface as i
 from linetrack.net import owner as module
@@ -223,3 +226,65 @@
     with gevent.Timeout(PATIENCE):
         played.greenlet.join()
     assert isinstance(played.greenlet.exception, NotImplementedError)
+
+
+class Wild:
+    """In the module's place: sends, cancels and ends requests as drawn, within what the interface allows."""
+
+    def __init__(self, draw: Callable[[int], int]) -> None:
+        self.draw = draw
+        self.sent: dict[int, int] = {}
+        self.closed: set[int] = set()
+        self.ended: list[tuple[int, int]] = []
+
+    def handle(self, now: int, event: i.Event) -> list[i.Action]:
+        number = getattr(event, "request", 0)
+        if isinstance(event, i.Ended):
+            self.ended.append((number, event.attempt))
+            assert event.over == (number in self.closed or event.outcome is i.Outcome.OK)
+        if isinstance(event, i.ClientLeft) or (isinstance(event, i.Ended) and event.over):
+            self.closed.add(number)
+        if not isinstance(event, i.Arrival | i.Ended) or number in self.closed:
+            return [i.Cancel(number, n) for n in range(self.sent.get(number, 0)) if self.draw(2)]
+        if self.sent.get(number, 0) < 4 and self.draw(3):
+            sends = 1 + self.draw(2)
+            self.sent[number] = self.sent.get(number, 0) + sends
+            return [i.Send(number, "a", self.draw(2) * 100 * MS) for _ in range(sends)]
+        self.closed.add(number)
+        final: list[i.Action] = [i.Refuse(number) if self.draw(2) else i.Fail(number)]
+        return final + [i.Cancel(number, 0)] * self.draw(2)
+
+
+@given(st.randoms(use_true_random=False))
+def test_every_send_ends_once_and_every_request_is_answered_once(random: Random) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        played = Played(patch)
+        wild = Wild(random.randrange)
+        played.owner.balancer = wild  # type: ignore[assignment]
+        replies: dict[int, int] = {}
+        left: set[int] = set()
+        for number in range(1, 9):
+
+            def reply(final: Final, number: int = number) -> None:
+                replies[number] = replies.get(number, 0) + 1
+
+            played.put(Taken(GET, i.Arrival(number, 0, 300 * MS), reply))
+            if random.random() < 0.2:
+                left.add(number)
+                played.put(Left(number))
+            for attempt in played.started:
+                if not attempt.ended and random.random() < 0.4:
+                    attempt.ended = True
+                    good = random.random() < 0.5
+                    outcome = i.Outcome.OK if good else i.Outcome.RESET
+                    played.put(Done(attempt, outcome, MS, Answer(200, b"") if good else None))
+            played.wait(random.randrange(150) * MS)
+        for _ in range(12):
+            played.wait(300 * MS)
+        assert all(attempt.ended for attempt in played.started)
+        sent = sorted((attempt.open.number, attempt.number) for attempt in played.started)
+        assert sorted(wild.ended) == sent
+        assert all(replies.get(n, 0) == 1 for n in range(1, 9) if n not in left)
+        assert all(count == 1 for count in replies.values())
+        assert not played.owner.open
+        played.greenlet.kill()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,5 +1,6 @@
 """The program, started by the command of `run`, spoken to over sockets."""
 
+import contextlib
 import os
 import re
 import signal
@@ -341,6 +342,35 @@
         assert sidecar.process.wait(20) == 0
 
 
+def test_under_traffic_all_that_was_taken_before_the_end_is_answered(tmp_path: Path) -> None:
+    answered: list[int] = []
+
+    def keep_asking(sidecar: Sidecar) -> None:
+        """One request after the other, on kept connections, until none can be opened any more."""
+        while True:
+            try:
+                wire = sidecar.connect()
+            except OSError:
+                return
+            with wire.sock, contextlib.suppress(OSError):
+                wire.sock.sendall(call())
+                while reply := wire.read():
+                    answered.append(reply.status)
+                    wire.sock.sendall(call())
+
+    with World(tmp_path, Upstream("a"), Upstream("b")) as sidecar:
+        threads = [threading.Thread(target=keep_asking, args=(sidecar,)) for _ in range(6)]
+        for thread in threads:
+            thread.start()
+        until(lambda: len(answered) > 50)
+        assert sidecar.end() == 0
+        for thread in threads:
+            thread.join(20)
+        (last,) = [line for line in lines_of(sidecar.log()) if line.get("now") == "ended"]
+        assert last["left"] == 0 and last["taken"] == len(answered)
+        assert set(answered) == {200}
+
+
 def test_a_restart_serves_again_on_the_same_address(tmp_path: Path) -> None:
     world = World(tmp_path, Upstream("a"))
     with world as sidecar:
