Tests listen on loopback addresses of their own

Seen in one of twelve runs side by side: a port given back was taken by another run's connection before the sidecar bound it, and a stand-in was asked by another run's sidecar.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import copy
+import itertools
 import json
 import os
 import signal
@@ -27,6 +28,16 @@
 MS, SECOND = 1000, 1_000_000
 
 
+_hosts = itertools.cycle(range(1, 251))
+
+
+def own_host() -> str:
+    """A loopback address of its own: a port given back is then taken neither by an outgoing connection, which
+    starts at 127.0.0.1, nor by another run of the tests."""
+    pid = os.getpid()
+    return f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{next(_hosts)}"
+
+
 def until(done: Callable[[], Any], what: str = "") -> Any:
     """Wait until it holds; a test that waits too long has failed."""
     limit = time.monotonic() + PATIENCE
@@ -100,8 +111,8 @@
     """Listens on a free port and speaks as a subclass says, a thread for each connection."""
 
     def __init__(self) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.listener = socket.create_server((own_host(), 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
         self.connections: list[socket.socket] = []
         self.closing = threading.Event()
         threading.Thread(target=self._accept, daemon=True).start()
@@ -247,10 +258,10 @@
     }
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port: int = probe.getsockname()[1]
-    return port
+def free_address() -> str:
+    """Where nobody listens, and nobody else will."""
+    with socket.create_server((own_host(), 0)) as probe:
+        return "{}:{}".format(*probe.getsockname())
 
 
 @dataclass
@@ -275,7 +286,7 @@
         return self.process
 
     def start(self) -> Sidecar:
-        self.address = f"127.0.0.1:{free_port()}"
+        self.address = free_address()
         self.config["listen"] = self.address
         self.launch()
         until(self._ready, "ready")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,7 +25,7 @@
     answer,
     call,
     config,
-    free_port,
+    free_address,
     lines_of,
     request,
     silent,
@@ -272,7 +272,7 @@
 
 def test_discovery_out_of_reach_leaves_the_remembered_list(tmp_path: Path) -> None:
     server = Upstream("a")
-    sidecar = Sidecar(tmp_path, config(f"127.0.0.1:{free_port()}", [server.entry()]))
+    sidecar = Sidecar(tmp_path, config(free_address(), [server.entry()]))
     with sidecar:
         until(lambda: "discovery_failed" in sidecar.log())
         assert sidecar.ask().status == 200
