A given-up attempt's connection ends before anything else is written

Found by reading: the library closes a socket only once the greenlet that waits on it has woken, so a further attempt could be written while the earlier one's connection still stood open, which counts as a second copy. Upstreams.give_up now ends sending first. The test, which lets no other greenlet run in between, failed before.

--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -56,8 +56,11 @@
         self.over = False
 
 
-class Closable(Protocol):
-    def close(self) -> None: ...
+class Socket(Protocol):
+    """What giving an attempt up asks of its connection."""
+
+    def shutdown(self, how: int, /) -> object: ...
+    def close(self) -> object: ...
 
 
 class Attempt:
@@ -69,7 +72,7 @@
         self.open, self.upstream, self.sent, self.until = open_, upstream, sent, until
         self.number = len(open_.attempts)
         self.ended = False
-        self.sock: Closable | None = None  # what its greenlet waits on: giving up closes it
+        self.sock: Socket | None = None  # what its greenlet waits on: giving up closes it
 
 
 @dataclass(slots=True, frozen=True)
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -124,6 +125,9 @@
     def give_up(self, attempt: Attempt) -> None:
         """Close the connection that the attempt is on, dialled or half dialled; its greenlet wakes."""
         if attempt.sock is not None:
+            # closing waits for the greenlet on it to wake: the upstream is to know before any further attempt
+            with contextlib.suppress(OSError):
+                attempt.sock.shutdown(socket.SHUT_RDWR)
             attempt.sock.close()
 
     def _run(self, attempt: Attempt) -> None:
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -11,7 +11,7 @@
 from linetrack.net.messages import ClientRequest, Member, address
 from linetrack.net.owner import Attempt, Done, Open, clock
 from linetrack.net.upstreams import Upstreams, readable
-from tests.stand_ins import MS, PATIENCE, SECOND, Message, Upstream, Wire, answer, silent
+from tests.stand_ins import MS, PATIENCE, SECOND, Message, Upstream, Wire, answer, silent, until
 
 GET = ClientRequest("GET", "/look/k", "1")
 
@@ -201,7 +201,9 @@
             gevent.sleep(0.001)
         attempt.ended = True
         pool.upstreams.give_up(attempt)
-        while not server.closed or pool.used():
+        # no other greenlet has run yet: guards against a further attempt overtaking the end of this one
+        until(lambda: server.closed)
+        while pool.used():
             gevent.sleep(0.001)
     assert not pool.done
 
