Discovery is called again after a pause where an answer brings no news

Found by reading: a discovery that does not wait was called without pause. The test failed before. 100 ms is within the 200 ms in which a watch goes on.

--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -24,6 +24,7 @@
 HOLD_MS = 20_000  # how long a watch waits for news
 SLACK = 1.5  # seconds beyond that in which it must be answered; after 2 its news counts as told
 ANSWER_WITHIN = 5.0  # seconds for a call that need not wait
+NO_NEWS = 0.1  # seconds between calls after an answer without news; a watch goes on if called again in 0.2
 READ_SIZE = 64 * 1024
 ASK_AGAIN = 1.0  # seconds after a failure where the module is not asked to call
 
@@ -108,8 +109,12 @@
                 answer = line.call(messages.encode_list_call(line.host, self.version, HOLD_MS), within)
                 if answer.status != 200:
                     raise MalformedError(f"discovery answered {answer.status}")
+                before = self.version
                 self._take(messages.decode_list(answer.body), first)
                 first = False
+                if self.version == before:
+                    # guards against calls without pause where discovery does not wait for news
+                    gevent.sleep(NO_NEWS)
                 if not answer.keep or line.reader.stray:
                     line.sock.close()
                     line = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """Discovery: calls and watches, against a stand-in, in one process."""
 
 import json
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -186,3 +187,17 @@
     assert watched.forms(2)[1] is ListForm.REFUSED
     watched.server.change(entry("a", state="DRAINING"))
     assert watched.forms(3)[2] is ListForm.CHANGES
+
+
+def test_a_discovery_that_does_not_wait_is_not_hammered(
+    watched: Watched, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # guards against calls without pause where answers without news come at once
+    monkeypatch.setattr(module, "NO_NEWS", 0.04)
+    watched.server.scripted = [listed(1, False), listed(1, False, entry("a")), listed(1, False)]
+    before = time.monotonic()
+    watched.start()
+    with gevent.Timeout(stand_ins.PATIENCE):
+        while len(watched.server.calls) < 4:
+            gevent.sleep(0.002)
+    assert time.monotonic() - before >= 3 * 0.04
