--- a/linetrack/net/budget.py
+++ b/linetrack/net/budget.py
@@ -9,14 +9,15 @@
 
 RESERVE = 40  # standard streams, the event loop's own, the listener, discovery, files read at start
 UPSTREAM_SHARE = 0.4  # of the rest, kept for upstreams: clients wait in the backlog beyond it
-PROGRAM_MB = 64  # the program itself, with nothing on its connections
-CLIENT_KB = 384  # the most that one client's request, its copies and its answer hold at once
+PROGRAM_MB = 36  # the program itself, with nothing on its connections
+CLIENT_KB = 448  # the most that one client's request, its copies and its answer hold at once
+FEWEST = 16  # clients let in however little memory there is: most requests are far smaller than the most
 
 
 class Budget:
     def __init__(self, sockets: int, memory_mb: int) -> None:
         self.most = sockets - RESERVE
-        room = max(1, (memory_mb - PROGRAM_MB) * 1024 // CLIENT_KB)
+        room = max(FEWEST, (memory_mb - PROGRAM_MB) * 1024 // CLIENT_KB)
         self.most_clients = min(int(self.most * (1 - UPSTREAM_SHARE)), room)
         self.used = self.clients = 0
         self.shrink: Callable[[], bool] = lambda: False
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -45,6 +45,15 @@
     assert ended == [1]
 
 
+@pytest.mark.parametrize(("memory_mb", "fewest", "most"), [(192, 300, 500), (64, 50, 100), (24, 16, 16)])
+def test_memory_bounds_the_clients_and_a_small_limit_still_serves(
+    memory_mb: int, fewest: int, most: int
+) -> None:
+    # guards against a limit a little above the program's own need that let one client in at a time
+    assert fewest <= Budget(1024, memory_mb).most_clients <= most
+    assert Budget(64, 192).most_clients >= 10
+
+
 class Deaf:
     """In the owner's place: takes requests and answers none."""
 
