What is over holds no bodies while its timers still stand

Seen: 600 clients with 64 KiB each way took 172 MB of 192. Ruled out: the number let in at once (356, at most 155 MB by the budget), which stood at 87 MB while all waited. At fault: the timer of each attempt, which stands until the client's deadline, held its request and, by the reply, its answer. The test failed before.

--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -43,6 +43,14 @@
     retry_after: int = 0
 
 
+#: In place of a request that is over, and of who waited for its answer.
+NOTHING = ClientRequest("", "")
+
+
+def _to_nobody(final: Final) -> None:
+    """Nobody waits any more."""
+
+
 class Open:
     """A request from the moment it is taken until it is over and its last attempt has ended."""
 
@@ -231,6 +239,8 @@
     def _forget(self, open_: Open) -> None:
         if open_.over and all(attempt.ended for attempt in open_.attempts):
             self.open.pop(open_.number, None)
+            # the timers of its attempts still stand: they must not hold the bodies until they are due
+            open_.request, open_.reply = NOTHING, _to_nobody
 
     def _handle(self, now: int, event: i.Event) -> None:
         self.now = max(self.now, now)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,5 +1,6 @@
 """The owner: order of events and timers, one answer for each request, one end for each attempt."""
 
+import weakref
 from collections.abc import Callable
 from random import Random
 
@@ -214,6 +215,24 @@
     assert isinstance(event, i.Ended) and event.latency == 5 * MS and now == seen
 
 
+def test_what_is_over_holds_no_bodies_until_its_time_would_have_ended(played: Played) -> None:
+    # guards against memory: the timer of an attempt stands for seconds after the answer
+    class Reply:
+        def __call__(self, final: Final) -> None:
+            self.final = final
+
+    reply = Reply()
+    kept = weakref.ref(reply)
+    played.module.wants = send
+    played.put(Taken(GET, i.Arrival(1, 0, 2 * SECOND), reply))
+    del reply
+    assert kept() is not None
+    played.put(ok(played.started[0]))
+    gevent.sleep(0)
+    assert played.owner.timers and kept() is None
+    assert played.started[0].open.request is not GET
+
+
 def test_a_watch_is_asked_for(played: Played) -> None:
     played.module.wants = lambda event: [i.Watch(True)]
     played.put(i.FleetNews(i.ListForm.REMEMBERED))
