--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -104,7 +104,7 @@
         discovery=_address(told["discovery"], "discovery (EDGE_DISCOVERY)"),
         seed=_seed(root.values.get("seed", "0")),
         sockets=sockets,
-        memory_mb=limits.whole("memory_mb", MEMORY_MB),
+        memory_mb=int(limits.number("memory_mb", MEMORY_MB)),
         known=_known(root.values.get("known")),
         settings=settings,
         class_names=tuple(item.text("name", str(n)) for n, item in enumerate(classes)),
