One connection class for upstreams and discovery, one way to accept, deadlines derived

Upstreams and discovery each dialled a socket and read it for a whole answer in their own words; both now use net/connection.py. The accept loop and the last accepts at SIGTERM share one step that gives the place back on failure. Config's longest deadline was kept beside the settings it follows from. The Host line is put together where messages are encoded. Behaviour as before.

--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -18,13 +18,12 @@
 from linetrack.interface import Arrival
 from linetrack.net import messages
 from linetrack.net.budget import Budget
+from linetrack.net.connection import READ_SIZE, readable
 from linetrack.net.messages import ClientRequest, MalformedError, RequestReader
 from linetrack.net.owner import Final, Left, Owner, Taken, clock
-from linetrack.net.upstreams import readable
 
 log = structlog.get_logger()
 
-READ_SIZE = 64 * 1024
 BACKLOG = 1024
 STALL = 10.0  # seconds for the rest of a request that has begun, and for an answer to be taken
 ROOM_WAIT = 0.02  # seconds until it is looked again whether there is room for a connection
@@ -54,7 +53,7 @@
                 self.busy = False
         except MalformedError as fault:
             self.busy = True
-            self.clients.refused_input(fault)
+            self.clients.refused_input(str(fault), fault.status)
             self._last_word(messages.encode_answer(fault.status, keep=False))
         except OSError:
             pass  # the client has gone, or takes nothing
@@ -161,21 +160,22 @@
                 self._close_idle_one()
                 gevent.sleep(ROOM_WAIT)
             try:
-                sock, _ = self.listener.accept()
+                self._take_one()
             except OSError as fault:
-                self.budget.give_back_client()
                 # guards against dying of what passes: no descriptor left, or a client that left the backlog
                 if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
                     raise
                 log.error("accept_failed", fault=str(fault))
                 gevent.sleep(ROOM_WAIT)
-                continue
-            except gevent.GreenletExit:
-                self.budget.give_back_client()
-                raise
-            self._begin(sock)
 
-    def _begin(self, sock: socket.socket) -> None:
+    def _take_one(self) -> None:
+        """Accept one connection, for which there is room."""
+        assert self.listener is not None
+        try:
+            sock, _ = self.listener.accept()
+        except BaseException:
+            self.budget.give_back_client()
+            raise
         client = Client(sock, self)
         self.open.add(client)
         gevent.spawn(client.serve)
@@ -190,8 +190,8 @@
         if idle:
             min(idle, key=lambda client: client.seen).sock.close()
 
-    def refused_input(self, fault: MalformedError) -> None:
-        log.warning("request_malformed", fault=str(fault), status=fault.status)
+    def refused_input(self, fault: str, status: int) -> None:
+        log.warning("request_malformed", fault=fault, status=status)
 
     def arrival(self, request: ClientRequest) -> Arrival | int:
         """What the module is told of a request, or the status that answers what is none."""
@@ -199,7 +199,7 @@
         klass = self.classes.get(steps[0]) if steps else None
         patience = messages.patience(request.expires)
         if klass is None or not request.trace or patience is None or patience < 0:
-            self.refused_input(MalformedError(f"class, id or deadline of {request.path[:80]!r}"))
+            self.refused_input(f"class, id or deadline of {request.path[:80]!r}", 400)
             return 400
         if patience == 0:
             return 504
@@ -221,11 +221,9 @@
         self.listener.setblocking(False)
         while self.budget.take_client():
             try:
-                sock, _ = self.listener.accept()
+                self._take_one()
             except OSError:
-                self.budget.give_back_client()
                 break
-            self._begin(sock)
         self.listener.close()
 
     def close_between_requests(self) -> None:
--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -38,9 +38,17 @@
     zone_names: tuple[str, ...]
     kind_names: tuple[str, ...]
     report_fields: tuple[str, ...]
-    dial_timeout: int  # microseconds, as all times below
+    dial_timeout: int  # microseconds, as below
     keep_alive: int
-    longest: int  # the longest deadline of any class
+
+    @property
+    def deadlines(self) -> tuple[int, ...]:
+        return tuple(klass.deadline for klass in self.settings.classes)
+
+    @property
+    def longest(self) -> int:
+        """The longest deadline of any class."""
+        return max(self.deadlines)
 
 
 def _address(value: str, key: str) -> tuple[str, int]:
@@ -113,7 +121,6 @@
         report_fields=tuple(stats.names("fields")) if settings.report_fields else (),
         dial_timeout=allowed.whole("dialTimeoutUs", 250_000),
         keep_alive=allowed.whole("keepaliveUs", 30_000_000),
-        longest=max(klass.deadline for klass in settings.classes),
     )
 
 
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -10,12 +10,12 @@
 
 import gevent
 import structlog
-from gevent import socket
 from gevent.event import Event
 
 from linetrack.interface import Entry, FleetNews, ListForm
 from linetrack.net import messages
-from linetrack.net.messages import Answer, AnswerReader, MalformedError, Member, MemberList
+from linetrack.net.connection import Connection
+from linetrack.net.messages import Answer, MalformedError, Member, MemberList
 from linetrack.net.owner import clock
 from linetrack.net.upstreams import Upstreams
 
@@ -25,40 +25,9 @@
 SLACK = 1.5  # seconds beyond that in which it must be answered; after 2 its news counts as told
 ANSWER_WITHIN = 5.0  # seconds for a call that need not wait
 NO_NEWS = 0.1  # seconds between calls after an answer without news; a watch goes on if called again in 0.2
-READ_SIZE = 64 * 1024
 ASK_AGAIN = 1.0  # seconds after a failure where the module is not asked to call
 
 
-class Line:
-    """One connection to discovery."""
-
-    def __init__(self, address: tuple[str, int]) -> None:
-        self.host = f"{address[0]}:{address[1]}"
-        self.reader = AnswerReader(messages.MOST_LIST)
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            self.sock.settimeout(ANSWER_WITHIN)
-            self.sock.connect(address)
-            # guards against the dial's time-out ending each watch that is quiet for longer
-            self.sock.settimeout(None)
-        except BaseException:
-            self.sock.close()
-            raise
-
-    def call(self, data: bytes, within: float) -> Answer:
-        """One call's answer, whole; raises where none comes in time."""
-        with gevent.Timeout(within, TimeoutError("discovery did not answer")):
-            self.sock.sendall(data)
-            answer = None
-            while answer is None:
-                piece = self.sock.recv(READ_SIZE)
-                if not piece:
-                    raise MalformedError("discovery closed the connection")
-                answer = self.reader.feed(piece)
-        self.reader.next()
-        return answer
-
-
 class Discovery:
     def __init__(
         self,
@@ -100,13 +69,15 @@
 
     def _follow(self) -> None:
         """Calls one after the other, on one connection while it is kept; ends by raising."""
-        line: Line | None = None
+        line: Connection | None = None
         first = True
         try:
             while True:
-                line = line or Line(self.address)
+                if line is None:
+                    line = Connection(self.address, messages.MOST_LIST)
+                    line.dial(ANSWER_WITHIN)
                 within = ANSWER_WITHIN if self.version is None else HOLD_MS / 1000 + SLACK
-                answer = line.call(messages.encode_list_call(line.host, self.version, HOLD_MS), within)
+                answer = self._call(line, within)
                 if answer.status != 200:
                     raise MalformedError(f"discovery answered {answer.status}")
                 before = self.version
@@ -122,6 +93,16 @@
             if line is not None:
                 line.sock.close()
 
+    def _call(self, line: Connection, within: float) -> Answer:
+        """One call's answer, whole; raises where none comes in time."""
+        with gevent.Timeout(within, TimeoutError("discovery did not answer")):
+            line.sock.sendall(messages.encode_list_call(self.address, self.version, HOLD_MS))
+            answer = line.read()
+        if answer is None:
+            raise MalformedError("discovery closed the connection")
+        line.reader.next()
+        return answer
+
     def _take(self, told: MemberList, first: bool) -> None:
         if told.passed_over:
             log.warning("members_passed_over", entries=told.passed_over)
--- a/linetrack/net/messages.py
+++ b/linetrack/net/messages.py
@@ -260,10 +260,10 @@
     return "\r\n".join(lines).encode("latin-1") + body
 
 
-def encode_request(request: ClientRequest, host: str, remaining: int) -> bytes:
+def encode_request(request: ClientRequest, to: tuple[str, int], remaining: int) -> bytes:
     """The request as it goes on to an upstream, which is told how long it will be waited for."""
     fields = [
-        ("Host", host),
+        ("Host", f"{to[0]}:{to[1]}"),
         ("X-Trace-Id", request.trace),
         ("Idempotency-Key", request.idempotency),
         ("X-Expires-In", f"{max(0, remaining) / 1_000_000:.6f}"),
@@ -287,10 +287,10 @@
     return _head(f"HTTP/1.1 {status} {REASONS[status]}", fields, body)
 
 
-def encode_list_call(host: str, version: int | None = None, hold_ms: int = 0) -> bytes:
+def encode_list_call(to: tuple[str, int], version: int | None = None, hold_ms: int = 0) -> bytes:
     """A call to discovery: the whole list, or a watch from a version on."""
     query = "" if version is None else f"?from={version}&hold_ms={hold_ms}"
-    return _head(f"GET {LIST_PATH}{query} HTTP/1.1", [("Host", host)], b"")
+    return _head(f"GET {LIST_PATH}{query} HTTP/1.1", [("Host", f"{to[0]}:{to[1]}")], b"")
 
 
 @dataclass(slots=True, frozen=True)
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -64,8 +64,7 @@
         self.owner = Owner(
             config.settings, config.seed, self.upstreams.start, self.upstreams.give_up, self.discovery.watch
         )
-        deadlines = tuple(klass.deadline for klass in config.settings.classes)
-        self.clients = Clients(self.owner, budget, config.class_names, deadlines, self.serving)
+        self.clients = Clients(self.owner, budget, config.class_names, config.deadlines, self.serving)
         self.leave = Event()
 
     def serving(self) -> bool:
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import select
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,23 +17,14 @@
 
 from linetrack.interface import Health, Outcome
 from linetrack.net.budget import Budget
-from linetrack.net.messages import Answer, AnswerReader, MalformedError, Member, encode_request, report
+from linetrack.net.connection import Connection, readable
+from linetrack.net.messages import Answer, MalformedError, Member, encode_request, report
 from linetrack.net.owner import Attempt, Done, clock
 
 log = structlog.get_logger()
 
 KEEP_SHARE = 0.8  # of the upstream's keep-alive: past it a connection may be closed under the next request
 SWEEP = 1.0  # seconds between looks for connections that stood idle too long
-READ_SIZE = 64 * 1024
-
-
-class Connection:
-    __slots__ = ("address", "idle_since", "reader", "sock")
-
-    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        self.sock, self.address = sock, address
-        self.reader = AnswerReader()
-        self.idle_since = 0
 
 
 @dataclass(slots=True)
@@ -142,10 +132,10 @@
             if self._forbidden(attempt, known):
                 self._finish(attempt, Outcome.MOOT)
                 return
-            host = f"{connection.address[0]}:{connection.address[1]}"
-            connection.sock.sendall(encode_request(attempt.open.request, host, attempt.until - clock()))
+            remaining = attempt.until - clock()
+            connection.sock.sendall(encode_request(attempt.open.request, connection.address, remaining))
             written = True
-            answer = self._read(connection)
+            answer = connection.read()
             seen = clock()
             if answer is None:
                 self._finish(attempt, Outcome.RESET, seen=seen)
@@ -184,33 +174,15 @@
             log.warning("no_descriptor", upstream=attempt.upstream)
             self._finish(attempt, Outcome.CONNECT_FAILED)
             return None
-        address = known.address
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            try:
-                attempt.sock = sock
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.settimeout(self.dial_timeout / 1_000_000)
-                sock.connect(address)
-                sock.settimeout(None)
-                return Connection(sock, address)
-            except BaseException:
-                sock.close()
-                raise
+            connection = Connection(known.address)
+            attempt.sock = connection.sock
+            connection.dial(self.dial_timeout / 1_000_000)
+            return connection
         except BaseException:
             self.budget.give_back()
             raise
 
-    def _read(self, connection: Connection) -> Answer | None:
-        """The answer, whole; None where the connection ended first."""
-        while True:
-            data = connection.sock.recv(READ_SIZE)
-            if not data:
-                return None
-            answer = connection.reader.feed(data)
-            if answer is not None:
-                return answer
-
     def _finish(
         self, attempt: Attempt, outcome: Outcome, answer: Answer | None = None, seen: int | None = None
     ) -> None:
@@ -229,12 +201,3 @@
     if answer.status in (503, 504) and answer.never_ran:
         return Outcome.FULL
     return Outcome.ERROR
-
-
-def readable(sock: socket.socket) -> bool:
-    """Whether a read would not wait: bytes or the end have come, or the socket is already closed here."""
-    if sock.fileno() < 0:
-        return True
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
-    return bool(poll.poll(0))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -89,7 +89,7 @@
 )
 def test_a_request_goes_on_as_it_came(method: str, name: str, body: bytes, remaining: int) -> None:
     sent = ClientRequest(method, f"/look/{name}?q=1", name, name, "text/plain", body=body)
-    (read,) = RequestReader().feed(messages.encode_request(sent, "127.0.0.1:1", remaining))
+    (read,) = RequestReader().feed(messages.encode_request(sent, ("127.0.0.1", 1), remaining))
     assert (read.method, read.target, read.trace, read.idempotency) == (method, sent.target, name, name)
     assert (read.body, read.content_type) == (body, "text/plain")
     assert messages.patience(read.expires) == max(0, remaining)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -8,9 +8,10 @@
 
 from linetrack.interface import Health, Outcome
 from linetrack.net.budget import RESERVE, Budget
+from linetrack.net.connection import readable
 from linetrack.net.messages import ClientRequest, Member, address
 from linetrack.net.owner import Attempt, Done, Open, clock
-from linetrack.net.upstreams import Upstreams, readable
+from linetrack.net.upstreams import Upstreams
 from tests.stand_ins import MS, PATIENCE, SECOND, Message, Upstream, Wire, answer, silent, until
 
 GET = ClientRequest("GET", "/look/k", "1")
