Tests: one way to wait among greenlets, one entry of the list, unused arguments gone

The wait loop stood nine times in three files, the listed entry and the set-up of two module tests twice. Stand-ins lose arguments and fields that no test set.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -16,12 +16,14 @@
 import threading
 import time
 import tomllib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
 from typing import Any
 
+import gevent
+
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 PATIENCE = 20.0  # seconds until a test that waits for something gives up
@@ -48,6 +50,13 @@
     raise AssertionError(f"never came: {what or done}")
 
 
+def turns_until(done: Callable[[], Any]) -> None:
+    """The same in one process with what is tested: its greenlets run meanwhile."""
+    with gevent.Timeout(PATIENCE):
+        while not done():
+            gevent.sleep(0.001)
+
+
 @dataclass
 class Message:
     """One HTTP message as it was read from a socket."""
@@ -143,18 +152,23 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
+def entry(name: str, addr: str = "127.0.0.1:9", **changes: Any) -> dict[str, Any]:
+    """An upstream as discovery lists it."""
+    base = {"id": name, "addr": addr, "zone": "north", "kind": "plain", "cell": 1}
+    return {**base, "state": "SERVING", "weight": 1.0, "started_ms": 0, **changes}
+
+
 Script = Callable[[Message, Wire], bytes | None]
 
 
 class Upstream(Server):
     """Answers by its script: bytes to send, or None where the connection is to be ended."""
 
-    def __init__(self, name: str, script: Script | None = None, zone: str = "north") -> None:
-        self.name, self.zone = name, zone
+    def __init__(self, name: str, script: Script | None = None) -> None:
+        self.name = name
         self.script: Script = script or (lambda request, wire: answer(name.encode()))
         self.seen: list[Message] = []
         self.closed = 0
-        self.state = "SERVING"
         super().__init__()
 
     def speak(self, wire: Wire) -> None:
@@ -169,8 +183,7 @@
             self.closed += 1
 
     def entry(self, **changes: Any) -> dict[str, Any]:
-        entry = {"id": self.name, "addr": self.address, "zone": self.zone, "kind": "plain", "cell": 1}
-        return {**entry, "state": self.state, "weight": 1.0, "started_ms": 0, **changes}
+        return entry(self.name, **{"addr": self.address, **changes})
 
 
 def silent(request: Message, wire: Wire) -> None:
@@ -306,8 +319,8 @@
         host, port = self.address.split(":")
         return Wire(socket.create_connection((host, int(port)), PATIENCE))
 
-    def get(self, path: str, *headers: str) -> Message:
-        return self.talk(request(path, "GET", *headers))
+    def get(self, path: str) -> Message:
+        return self.talk(request(path))
 
     def talk(self, data: bytes) -> Message:
         """One connection, these bytes, and the one answer to them."""
@@ -346,10 +359,10 @@
 _numbers = iter(range(1, 1_000_000))
 
 
-def call(klass: str = "look", expires: str = "2.0", body: bytes = b"", *headers: str) -> bytes:
+def call(klass: str = "look", expires: str = "2.0", body: bytes = b"") -> bytes:
     """A proper request of a class, with an id of its own."""
     method = "POST" if body else "GET"
-    named = [f"X-Trace-Id: {next(_numbers):016x}", f"X-Expires-In: {expires}", *headers]
+    named = [f"X-Trace-Id: {next(_numbers):016x}", f"X-Expires-In: {expires}"]
     return request(f"/{klass}/k1", method, *named, body=body)
 
 
@@ -382,7 +395,8 @@
             server.close()
 
 
-def lines_of(log: str) -> Iterator[dict[str, Any]]:
-    for line in log.splitlines():
-        with contextlib.suppress(ValueError):
-            yield json.loads(line)
+def last_counts(log: str) -> dict[str, Any]:
+    """The counts that the program wrote as it ended."""
+    (ended,) = [line for line in map(json.loads, log.splitlines()) if line.get("now") == "ended"]
+    counts: dict[str, Any] = ended
+    return counts
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -15,12 +15,7 @@
 from linetrack.net.messages import address, member_list
 from linetrack.net.upstreams import Upstreams
 from tests import stand_ins
-from tests.stand_ins import answer
-
-
-def entry(name: str, **changes: Any) -> dict[str, Any]:
-    base = {"id": name, "addr": "127.0.0.1:9", "zone": "north", "kind": "plain", "cell": 1}
-    return {**base, "state": "SERVING", "weight": 1.0, "started_ms": 0, **changes}
+from tests.stand_ins import answer, entry, turns_until
 
 
 class Watched:
@@ -45,9 +40,7 @@
 
     def forms(self, count: int) -> list[ListForm]:
         """The forms of all that was told, once there are so many."""
-        with gevent.Timeout(stand_ins.PATIENCE):
-            while len(self.told) < count:
-                gevent.sleep(0.002)
+        turns_until(lambda: len(self.told) >= count)
         return [news.form for news in self.told]
 
 
@@ -63,9 +56,7 @@
     # guards against the dial's time-out staying on the socket: every watch ended after it, as refused
     monkeypatch.setattr(module, "ANSWER_WITHIN", 0.1)
     watched.start()
-    with gevent.Timeout(stand_ins.PATIENCE):
-        while not watched.server.calls:
-            gevent.sleep(0.002)
+    turns_until(lambda: watched.server.calls)
     gevent.sleep(0.3)
     watched.server.change(entry("a", state="DRAINING"))
     assert watched.forms(2) == [ListForm.REMEMBERED, ListForm.CHANGES]
@@ -121,9 +112,7 @@
     watched.server.scripted = [listed(3, False, entry("c"))]
     watched.server.change(entry("b"))
     watched.forms(3)
-    with gevent.Timeout(stand_ins.PATIENCE):
-        while watched.told[-1].form is not ListForm.REFUSED:
-            gevent.sleep(0.002)
+    turns_until(lambda: watched.told[-1].form is ListForm.REFUSED)
     watched.server.version = 4
     watched.discovery.watch()
     told = len(watched.told)
@@ -197,7 +186,5 @@
     watched.server.scripted = [listed(1, False), listed(1, False, entry("a")), listed(1, False)]
     before = time.monotonic()
     watched.start()
-    with gevent.Timeout(stand_ins.PATIENCE):
-        while len(watched.server.calls) < 4:
-            gevent.sleep(0.002)
+    turns_until(lambda: len(watched.server.calls) >= 4)
     assert time.monotonic() - before >= 3 * 0.04
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,7 +15,7 @@
 from linetrack.net.messages import ClientRequest
 from linetrack.net.owner import Final
 from linetrack.net.sidecar import LINE_EVERY, Sparing, must_live
-from tests.stand_ins import PATIENCE, SECOND, call
+from tests.stand_ins import PATIENCE, SECOND, call, turns_until
 
 
 def test_a_flood_of_one_event_is_one_line_a_second_and_a_count() -> None:
@@ -86,9 +86,7 @@
     # guards against closing an idle connection that nobody's place depends on, the newest even
     clients.budget.most_clients = 3
     first, second, third = (connect(clients) for _ in range(3))
-    with gevent.Timeout(PATIENCE):
-        while len(clients.open) < 3:
-            gevent.sleep(0.001)
+    turns_until(lambda: len(clients.open) >= 3)
     gevent.sleep(5 * clients_module.ROOM_WAIT)
     assert len(clients.open) == 3
     fourth = connect(clients)
@@ -114,8 +112,6 @@
     wire.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     with gevent.Timeout(PATIENCE):
         for _ in range(200):
-            if not clients.open and clients.budget.clients <= 1:
-                break
             wire.sendall(call())
             gevent.sleep(0.005)
             for taken in clients.owner.told:  # type: ignore[attr-defined]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,7 @@
     TimerDue,
     Watch,
 )
-from linetrack.rules import Balancer, Evidence
+from linetrack.rules import Balancer, Evidence, Request, Upstream
 from tests.helpers import CELL, KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
 
@@ -360,17 +360,21 @@
     assert sends(driver.ask()[1])
 
 
+def one_asked() -> tuple[Balancer, Request, Upstream]:
+    """A balancer used to calm answers, a request just arrived there and one of its upstreams."""
+    driver = Driver()
+    for _ in range(30):
+        driver.serve(latency=100 * MS)
+    request, _ = driver.ask()
+    return driver.balancer, driver.balancer.requests[request], driver.balancer.fleet["h0"]
+
+
 def test_crowding_raises_the_cost_of_work() -> None:
     """One more request delays the others the more, the longer requests take beside an uncrowded one."""
     nets = []
     for crowd in (0.0, 1.0):
-        driver = Driver()
-        for _ in range(30):
-            driver.serve(latency=100 * MS)
-        request, _ = driver.ask()
-        balancer, record = driver.balancer, driver.balancer.fleet["h0"]
+        balancer, held, record = one_asked()
         record.out.clear()
-        held = balancer.requests[request]
         # the same completion is expected both times, once as calm pace and once as crowding
         balancer.calm = math.log(300.0 * MS) - crowd
         balancer.zones[0].crowd.value, balancer.zones[0].crowd.weight = crowd, 1e9
@@ -485,14 +489,10 @@
     """A jam can look like slow upstreams; that answers come late then prices work all the same."""
     nets = []
     for late in (0.05, 0.5):
-        driver = Driver()
-        for _ in range(30):
-            driver.serve(latency=100 * MS)
-        request, _ = driver.ask()
-        balancer, record = driver.balancer, driver.balancer.fleet["h0"]
+        balancer, held, record = one_asked()
         balancer.late.value = late
-        balancer._weigh(balancer.requests[request])
-        nets.append(balancer._net(balancer.requests[request], record, 400.0 * MS))
+        balancer._weigh(held)
+        nets.append(balancer._net(held, record, 400.0 * MS))
     assert nets[1] < nets[0]
 
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -26,7 +26,7 @@
     call,
     config,
     free_address,
-    lines_of,
+    last_counts,
     request,
     silent,
     until,
@@ -159,7 +159,7 @@
         server.script = lambda request, wire: answer(b"ok")
         assert sidecar.ask().status == 200
         sidecar.end()
-        assert next(x for x in lines_of(sidecar.log()) if x.get("now") == "ended")["left"] == 1
+        assert last_counts(sidecar.log())["left"] == 1
 
 
 def test_an_upstream_that_drains_is_left_and_its_connections_closed(tmp_path: Path) -> None:
@@ -369,7 +369,7 @@
         assert sidecar.end() == 0
         for thread in threads:
             thread.join(20)
-        (last,) = [line for line in lines_of(sidecar.log()) if line.get("now") == "ended"]
+        last = last_counts(sidecar.log())
         assert last["left"] == 0 and last["taken"] == len(answered)
         assert set(answered) == {200}
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable, Iterator
+from functools import partial
 
 import gevent
 import pytest
@@ -12,7 +13,7 @@
 from linetrack.net.messages import ClientRequest, Member, address
 from linetrack.net.owner import Attempt, Done, Open, clock
 from linetrack.net.upstreams import Upstreams
-from tests.stand_ins import MS, PATIENCE, SECOND, Message, Upstream, Wire, answer, silent, until
+from tests.stand_ins import MS, SECOND, Message, Upstream, Wire, answer, silent, turns_until, until
 
 GET = ClientRequest("GET", "/look/k", "1")
 
@@ -42,9 +43,7 @@
         return attempt
 
     def ends(self, count: int = 1) -> list[Outcome]:
-        with gevent.Timeout(PATIENCE):
-            while len(self.done) < count:
-                gevent.sleep(0.001)
+        turns_until(lambda: len(self.done) >= count)
         gevent.sleep(0)
         return [done.outcome for done in self.done]
 
@@ -166,9 +165,7 @@
     for count in range(1, 6):
         pool.attempt()
         pool.ends(count)
-        with gevent.Timeout(PATIENCE):
-            while server.closed < count:
-                gevent.sleep(0.001)
+        turns_until(partial(lambda closed: server.closed >= closed, count))
     assert pool.ends(5) == [Outcome.OK] * 5 and len(server.connections) == 5
 
 
@@ -197,15 +194,12 @@
     server.script = silent
     pool = Pool(server)
     attempt = pool.attempt()
-    with gevent.Timeout(PATIENCE):
-        while not server.seen:
-            gevent.sleep(0.001)
-        attempt.ended = True
-        pool.upstreams.give_up(attempt)
-        # no other greenlet has run yet: guards against a further attempt overtaking the end of this one
-        until(lambda: server.closed)
-        while pool.used():
-            gevent.sleep(0.001)
+    turns_until(lambda: server.seen)
+    attempt.ended = True
+    pool.upstreams.give_up(attempt)
+    # no other greenlet has run yet: guards against a further attempt overtaking the end of this one
+    until(lambda: server.closed)
+    turns_until(lambda: not pool.used())
     assert not pool.done
 
 
@@ -283,9 +277,7 @@
     server.script = silent
     pool = Pool(server)
     pool.attempt()
-    with gevent.Timeout(PATIENCE):
-        while not server.seen:
-            gevent.sleep(0.001)
+    turns_until(lambda: server.seen)
     pool.upstreams.learn((member("a", "127.0.0.1:9"),), False)
     server.connections[0].sendall(answer(b"ok"))
     assert pool.ends() == [Outcome.OK] and pool.idle() == pool.used() == 0
