SIGHUP reloads: a new discovery is asked at once for its whole list; what is gone is forgotten

From reading, then tested: EDGE_DISCOVERY came before the file and would have hidden the new address (config.py, the loop over told keys); the old watch, its version and the module's back-off would have stood in the way of the new one (discovery.py, run and _follow); Upstreams.known and discovery's numbers for unnamed zones and kinds never dropped an entry.

Ruled out: a crash from elsewhere (status 129 is SIGHUP's own; the log ends without a traceback).

--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -1,4 +1,5 @@
-"""What a sidecar is told: EDGE_* and the JSON file, read, checked and defaulted here only.
+"""What a sidecar is told: EDGE_* and the JSON file, read, checked and defaulted here only, at a reload as
+well.
 
 Must never open a socket or hold anything that changes.  Every fault names the key that is to blame.
 """
@@ -8,7 +9,7 @@
 import json
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
 from linetrack.interface import Settings
@@ -41,6 +42,19 @@
     dial_timeout: int  # microseconds, as below
     keep_alive: int
 
+    def restart_for(self, new: Config) -> list[str]:
+        """The keys in which another configuration differs that only a restart can bring into force."""
+        keys = {
+            "sockets": "limits.sockets",
+            "memory_mb": "limits.memory_mb",
+            "name": "name",
+            "listen": "listen",
+        }
+        at_start = ("seed", "known", "discovery")
+        names = [f.name for f in fields(self) if f.name not in at_start]
+        differ = [keys.get(name, "settings") for name in names if getattr(self, name) != getattr(new, name)]
+        return sorted(set(differ))
+
     @property
     def deadlines(self) -> tuple[int, ...]:
         return tuple(klass.deadline for klass in self.settings.classes)
@@ -92,7 +106,9 @@
     root = _file(environ["EDGE_CONFIG"])
     told = {}
     for key in ("name", "listen", "discovery"):
-        told[key] = environ.get(f"EDGE_{key.upper()}") or root.text(key, "")
+        from_file, from_environ = root.text(key, ""), environ.get(f"EDGE_{key.upper()}", "")
+        # the environment stays as it was at the start, so it must not hide a discovery that a new file names
+        told[key] = from_file or from_environ if key == "discovery" else from_environ or from_file
         if not told[key]:
             raise ConfigError(f"{key} (EDGE_{key.upper()}) is missing")
     if "settings" not in root.values:
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -1,12 +1,14 @@
 """Discovery: the list of upstreams, called for and watched.
 
-Owns the connection to discovery and the version of the list at hand.  Must never decide when to ask again
-after a failure: that is told to the module as refused.
+Owns the connection to discovery, its address and the version of the list at hand.  Must never decide when to
+ask again after a failure: that is told to the module as refused.
 """
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
+from typing import NoReturn
 
 import gevent
 import structlog
@@ -44,6 +46,7 @@
         self.must_ask = must_ask
         self.version: int | None = None
         self.asked = Event()
+        self.following: gevent.Greenlet | None = None
 
     def remember(self, known: MemberList) -> None:
         """The list as this sidecar last had it, before anything else is told."""
@@ -53,21 +56,38 @@
     def watch(self) -> None:
         self.asked.set()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The configuration names this address now.  Another discovery is asked at once, whatever back-off
+        stands, and for its whole list, as its versions are its own; until it has answered the old list
+        stands."""
+        if address == self.address:
+            return
+        self.address, self.version = address, None
+        self.asked.set()
+        if self.following is not None:
+            self.following.kill()
+
     def run(self) -> None:
-        """Each time the module asks, a watch until it fails; for ever."""
+        """Each time the module asks, a watch until it fails or discovery moves; for ever."""
+        if not self.must_ask:
+            self.asked.set()
         while True:
-            if self.must_ask:
-                self.asked.wait()
-                self.asked.clear()
-            try:
-                self._follow()
-            except (OSError, MalformedError) as fault:
+            self.asked.wait(None if self.must_ask else ASK_AGAIN)
+            self.asked.clear()
+            self.following = gevent.spawn(self._until_it_fails)
+            fault = self.following.get()
+            self.following = None
+            if not isinstance(fault, gevent.GreenletExit):
                 log.warning("discovery_failed", fault=str(fault) or type(fault).__name__)
-            self.tell(FleetNews(ListForm.REFUSED), clock())
-            if not self.must_ask:
-                gevent.sleep(ASK_AGAIN)
+                self.tell(FleetNews(ListForm.REFUSED), clock())
+
+    def _until_it_fails(self) -> Exception:
+        try:
+            self._follow()
+        except (OSError, MalformedError) as fault:
+            return fault
 
-    def _follow(self) -> None:
+    def _follow(self) -> NoReturn:
         """Calls one after the other, on one connection while it is kept; ends by raising."""
         line: Connection | None = None
         first = True
@@ -121,8 +141,12 @@
         self.tell(FleetNews(form, tuple(self._entry(member) for member in told.members)), seen)
 
     def _entry(self, member: Member) -> Entry:
-        # a zone or kind that the settings do not name gets a number of its own
-        zone = self.zones.setdefault(member.zone, len(self.zones))
-        kind = self.kinds.setdefault(member.kind, len(self.kinds))
-        health = member.health
+        zone, kind, health = _place(self.zones, member.zone), _place(self.kinds, member.kind), member.health
         return Entry(member.name, zone, kind, member.cell, health, member.weight, member.started_ms * 1000)
+
+
+def _place(named: dict[str, int], name: str) -> int:
+    """A name's number; one that the settings do not hold gets one of its own, kept nowhere: new names may
+    come for ever."""
+    place = named.get(name)
+    return len(named) + zlib.crc32(name.encode()) if place is None else place
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -42,8 +42,8 @@
 
 
 class Sidecar:
-    def __init__(self, config: Config) -> None:
-        self.config = config
+    def __init__(self, config: Config, environ: Mapping[str, str]) -> None:
+        self.config, self.environ = config, environ
         self.phase = Phase.STARTING
         budget = Budget(config.sockets, config.memory_mb)
         self.upstreams = Upstreams(
@@ -65,7 +65,7 @@
             config.settings, config.seed, self.upstreams.start, self.upstreams.give_up, self.discovery.watch
         )
         self.clients = Clients(self.owner, budget, config.class_names, config.deadlines, self.serving)
-        self.leave = Event()
+        self.leave, self.again = Event(), Event()
 
     def serving(self) -> bool:
         return self.phase is Phase.SERVING
@@ -76,15 +76,17 @@
 
     def run(self) -> int:
         """From start to exit; the exit status."""
-        # a second signal changes nothing
+        # a second SIGTERM changes nothing; a SIGHUP during a reload is one more reload
         gevent.signal_handler(signal.SIGTERM, self.leave.set)
         gevent.signal_handler(signal.SIGINT, self.leave.set)
+        gevent.signal_handler(signal.SIGHUP, self.again.set)
         self.discovery.remember(self.config.known)
         self.clients.listen(self.config.listen)
         must_live("owner", self.owner.run)
         accepting = must_live("listener", self.clients.accept)
         must_live("discovery", self.discovery.run)
         must_live("sweep", self.upstreams.sweep)
+        must_live("reload", self._reload)
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
@@ -103,6 +105,19 @@
         self._enter(Phase.ENDED)
         return 0
 
+    def _reload(self) -> None:
+        """Each time SIGHUP has come, the file is read again, whole, and then applied; for ever."""
+        while True:
+            self.again.wait()
+            self.again.clear()
+            try:
+                new = read_config(self.environ)
+            except ConfigError as fault:
+                log.error("reload_faulty", fault=str(fault))
+                continue
+            log.info("reloaded", discovery=new.discovery, needs_restart=self.config.restart_for(new))
+            self.discovery.move(new.discovery)
+
 
 def must_live(name: str, work: Callable[[], None]) -> gevent.Greenlet:
     """A greenlet without which the program is no use: if it breaks, the process ends, loudly."""
@@ -158,7 +173,7 @@
     except ConfigError as fault:
         log.error("config_faulty", fault=str(fault))
         return 2
-    sidecar = Sidecar(config)
+    sidecar = Sidecar(config, environ)
     try:
         return sidecar.run()
     except OSError as fault:
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -52,24 +52,26 @@
 
     # --- The directory -----------------------------------------------------------------------------
     def learn(self, members: tuple[Member, ...], full: bool) -> None:
-        listed = set()
         for member in members:
-            listed.add(member.name)
             known = self.known.get(member.name)
-            if known is None:
+            if member.health is Health.GONE:
+                self._drop(member.name)
+            elif known is None:
                 self.known[member.name] = Known(member.address, member.health, [])
-                continue
-            if member.health is not Health.GONE and member.address != known.address:
-                known.address = member.address
-                self._close_idle(known)
-            known.health = member.health
-            if known.health is not Health.UP:
-                self._close_idle(known)
-        if full:
-            for name, known in self.known.items():
-                if name not in listed:
-                    known.health = Health.GONE
+            else:
+                if member.address != known.address or member.health is not Health.UP:
                     self._close_idle(known)
+                known.address, known.health = member.address, member.health
+        if full:
+            for name in self.known.keys() - {member.name for member in members}:
+                self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        """Forget one that is gone, as new ones come for ever; an attempt still out keeps its own record of
+        it, by which its connection is not used again, whoever has the name or the address then."""
+        if known := self.known.pop(name, None):
+            known.health = Health.GONE
+            self._close_idle(known)
 
     # --- Idle connections --------------------------------------------------------------------------
     def _close(self, connection: Connection) -> None:
@@ -124,7 +126,11 @@
         connection: Connection | None = None
         written = False
         try:
-            known = self.known[attempt.upstream]
+            known = self.known.get(attempt.upstream)
+            if known is None:
+                # gone between the module's decision and this turn
+                self._finish(attempt, Outcome.MOOT)
+                return
             connection = self._reused(known) or self._dial(attempt, known)
             if connection is None:
                 return
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -281,3 +281,31 @@
     pool.upstreams.learn((member("a", "127.0.0.1:9"),), False)
     server.connections[0].sendall(answer(b"ok"))
     assert pool.ends() == [Outcome.OK] and pool.idle() == pool.used() == 0
+
+
+def test_one_that_is_gone_is_forgotten_and_its_connection_never_used_for_another(server: Upstream) -> None:
+    # guards against records that grow with every upstream that ever was, and against a new upstream under the
+    # same id or at the same address that gets the old one's connections
+    server.script = silent
+    pool = Pool(server)
+    pool.attempt()
+    turns_until(lambda: server.seen)
+    pool.upstreams.learn((member("a", "127.0.0.1:9", Health.GONE),), False)
+    assert not pool.upstreams.known
+    pool.upstreams.learn((member("a", server.address), member("b", server.address)), False)
+    server.script = lambda request, wire: answer(b"new")
+    server.connections[0].sendall(answer(b"old"))
+    assert pool.ends() == [Outcome.OK]
+    assert pool.idle("a") == pool.idle("b") == pool.used() == 0
+    pool.attempt("b")
+    pool.ends(2)
+    assert len(server.connections) == 2 and pool.idle("b") == 1
+    pool.upstreams.learn((), True)
+    assert not pool.upstreams.known and pool.used() == 0
+
+
+def test_nothing_is_sent_to_one_forgotten_since_the_decision(server: Upstream) -> None:
+    pool = Pool(server)
+    pool.attempt()
+    pool.upstreams.learn((), True)
+    assert pool.ends() == [Outcome.MOOT] and not server.connections
