Clients have a time limit from connecting, ids are open once, silent ones make way, places by small requests

A trace of the sockets showed what they send: half requests and silence (no limit before a first byte, and one of 10 s that each byte renewed), the id of an open request with another target, 400 answers on connections that were kept for more of the same.

At fault: Client._read and STALL, Clients.accept (one place freed in 20 ms, by a poll of every connection), Clients.arrival (no check of ids), Budget (448 KB for each client and 36 MB for the program, of 64 to 80 MB).

--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -1,7 +1,8 @@
 """The listener and the application's connections.
 
-Owns accepting, reading requests and writing final answers, one request at a time on a connection.  Must never
-answer for the module: only what is no request (malformed, too large, over before it came) is answered here.
+Owns accepting, reading requests and writing final answers, one request at a time on a connection, the time
+that a client may take, and the ids of open requests.  Must never answer for the module: only what is no
+request (malformed, too large, stalled, of an id already open, over before it came) is answered here.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 
 from linetrack.interface import Arrival
 from linetrack.net import messages
-from linetrack.net.budget import Budget
+from linetrack.net.budget import SMALL, Budget
 from linetrack.net.connection import READ_SIZE, readable
 from linetrack.net.messages import ClientRequest, MalformedError, RequestReader
 from linetrack.net.owner import Final, Left, Owner, Taken, clock
@@ -25,76 +26,106 @@
 log = structlog.get_logger()
 
 BACKLOG = 1024
-STALL = 10.0  # seconds for the rest of a request that has begun, and for an answer to be taken
-ROOM_WAIT = 0.02  # seconds until it is looked again whether there is room for a connection
+# microseconds for a request to come whole (the first one's from connecting, a later one's from its first
+# byte), for an answer to be taken, and between requests: a connection may be closed after 2 s, and one that
+# says nothing must be after 3
+WITHIN = 2_250_000
+SWEEP = 0.1  # seconds between looks for connections whose time is over
+ROOM_WAIT = 0.01  # seconds until it is looked again whether there is room for a connection
+LAST_WORD = 500_000  # microseconds in which a client that was turned away may read why
+LAST_BYTES = 256 * 1024  # and how much of what it still sends is read away meanwhile
+NEVER = 2**63  # no time of ours
 
 
 class Client:
     """One connection of the application."""
 
+    __slots__ = ("asked", "busy", "clients", "due", "greenlet", "large", "reader", "seen", "sock", "whole")
+
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
         self.sock, self.clients = sock, clients
         self.reader = RequestReader()
         self.whole: deque[ClientRequest] = deque()
         self.seen = clock()  # when the bytes that made them whole were seen; at first, when it was accepted
+        self.due = self.seen + WITHIN  # when whoever holds it up now is out of time
+        self.asked = False  # a whole request has come on it
         self.busy = False  # a request is with the owner or its answer on the way
+        self.large = False  # room is held for a large request
+        self.greenlet = gevent.Greenlet(self.serve)
 
     def idle(self) -> bool:
         """Between requests, as far as can be seen."""
         return not self.busy and not self.reader.open and not readable(self.sock)
 
     def serve(self) -> None:
-        keep = True
         try:
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while keep and (self.whole or self._read()):
-                self.busy = True
-                keep = self._one(self.whole.popleft())
-                self.busy = False
+            while (self.whole or self._read()) and self._one(self.whole.popleft()):
+                pass
         except MalformedError as fault:
-            self.busy = True
             self.clients.refused_input(str(fault), fault.status)
-            self._last_word(messages.encode_answer(fault.status, keep=False))
+            self._last_word(fault.status)
         except OSError:
-            pass  # the client has gone, or takes nothing
+            pass  # the client has gone, or takes nothing, or its time was over
         except Exception:
             # guards against a greenlet that ends silently
             log.exception("client_broke")
         finally:
             self.sock.close()
+            self._let_go()
             self.clients.ended(self)
 
+    def _let_go(self) -> None:
+        """What was large on this connection is over."""
+        if self.large:
+            self.clients.budget.large.release()
+            self.large = False
+
+    def out_of_time(self) -> None:
+        """Called by the sweep: what waits for the client ends."""
+        if self.reader.open and not self.busy:
+            # guards against a request that drips in for ever
+            self.greenlet.kill(MalformedError("the request stalled", 408), block=False)
+        else:
+            self.sock.close()
+
     def _read(self) -> bool:
         """Read until at least one request is whole; False where the connection ends first."""
         while not self.whole:
             if self.reader.fault is not None:
                 raise self.reader.fault
-            self.sock.settimeout(STALL if self.reader.open else None)
-            try:
-                data = self.sock.recv(READ_SIZE)
-            except TimeoutError:
-                raise MalformedError("the request stalled", 408) from None
+            data = self.sock.recv(READ_SIZE)
             if not data:
                 return False
-            self.seen = clock()
+            begun, self.seen = self.reader.open, clock()
             self.whole.extend(self.reader.feed(data))
+            if self.reader.open and not begun and self.asked:
+                # guards against a limit that starts anew with each byte, or that a first byte puts off
+                self.due = self.seen + WITHIN
+            if self.reader.size > SMALL and not self.large:
+                # guards against large requests that together need more memory than there is: they wait unread
+                self.clients.budget.large.acquire()
+                self.large = True
+        self.asked = True
         return True
 
     def _one(self, request: ClientRequest) -> bool:
         """Serve one request; whether the connection is kept."""
+        self.busy, self.due = True, NEVER
         if request.path == messages.READY_PATH:
             return self._answer(request, Final(200 if self.clients.serving() else 503))
         arrival = self.clients.arrival(request)
         if isinstance(arrival, int):
-            return self._answer(request, Final(arrival))
+            raise MalformedError(f"class, id or deadline of {request.path[:80]!r}", arrival)
         result: AsyncResult[Final | None] = AsyncResult()
         self.clients.owner.put(Taken(request, arrival, result.set), self.seen)
         watch = gevent.spawn(self._watch, arrival.request, result)
         try:
             final = result.get()
-            return final is not None and self._answer(request, final)
         finally:
             watch.kill()
+            self.clients.over(request.trace)
+        return final is not None and self._answer(request, final)
 
     def _watch(self, number: int, result: AsyncResult[Final | None]) -> None:
         """While the request is out: a client that closes has gone away, and the owner is told."""
@@ -110,20 +141,22 @@
     def _answer(self, request: ClientRequest, final: Final) -> bool:
         keep = request.keep and not (self.clients.closing and not self.whole)
         data = messages.encode_answer(final.status, final.body, final.retry_after, keep, final.content_type)
-        self.sock.settimeout(STALL)
+        self.due = clock() + WITHIN
         self.sock.sendall(data)
+        self.busy = False
+        self._let_go()
         return keep
 
-    def _last_word(self, data: bytes) -> None:
-        """An answer before the request was read whole: what still comes is read away, so that no reset of the
-        connection overtakes the answer."""
+    def _last_word(self, status: int) -> None:
+        """An answer to what is no request: some of what still comes is read away, so that no reset of the
+        connection overtakes the answer, and nothing that comes behind it is taken for a request."""
+        self.busy, self.due = True, clock() + LAST_WORD
         try:
-            self.sock.settimeout(STALL)
-            self.sock.sendall(data)
+            self.sock.sendall(messages.encode_answer(status, keep=False))
             self.sock.shutdown(socket.SHUT_WR)
-            with gevent.Timeout(1.0, TimeoutError("a last word was not taken")):
-                while self.sock.recv(READ_SIZE):
-                    pass
+            left = LAST_BYTES
+            while left > 0 and (data := self.sock.recv(READ_SIZE)):
+                left -= len(data)
         except OSError:
             pass
 
@@ -141,6 +174,9 @@
         self.classes = {name: n for n, name in enumerate(classes)}
         self.deadlines = deadlines
         self.open: set[Client] = set()
+        # hashes of the ids of open requests and of those lately over: a copy may have been sent meanwhile
+        self.ids: set[int] = set()
+        self.lately: tuple[set[int], set[int]] = (set(), set())
         self.closing = False
         self.listener: socket.socket | None = None
 
@@ -157,8 +193,7 @@
             # room is made only once somebody waits for it
             socket.wait_read(self.listener.fileno())
             while not self.budget.take_client():
-                self._close_idle_one()
-                gevent.sleep(ROOM_WAIT)
+                gevent.sleep(0 if self._make_room() else ROOM_WAIT)
             try:
                 self._take_one()
             except OSError as fault:
@@ -178,31 +213,58 @@
             raise
         client = Client(sock, self)
         self.open.add(client)
-        gevent.spawn(client.serve)
+        client.greenlet.start()
 
     def ended(self, client: Client) -> None:
         self.open.discard(client)
         self.budget.give_back_client()
 
-    def _close_idle_one(self) -> None:
-        """Close the connection whose last request is longest ago, of those between requests."""
-        idle = [client for client in self.open if client.idle()]
-        if idle:
-            min(idle, key=lambda client: client.seen).sock.close()
+    def _make_room(self) -> bool:
+        """Close one connection between requests: one that never said a word before any that did, then the one
+        that has waited longest.  Guards against silent ones by the hundred in the places of those that
+        ask."""
+        before = clock() - int(ROOM_WAIT * 1_000_000)
+        for client in sorted(self.open, key=lambda client: (client.asked, client.seen)):
+            if client.seen > before and not client.asked:
+                return False  # its request may be on its way: a moment decides
+            if client.idle():
+                client.sock.close()
+                return True
+        return False
+
+    def sweep(self) -> None:
+        """Let go of whoever is out of time, for ever; a client's own time costs no timer of its own."""
+        turn = 0
+        while True:
+            gevent.sleep(SWEEP)
+            now = clock()
+            for client in [client for client in self.open if client.due <= now]:
+                client.out_of_time()
+            turn += 1
+            if turn * SWEEP * 1_000_000 >= WITHIN:
+                turn, self.lately = 0, (set(), self.lately[0])
+
+    def over(self, trace: str) -> None:
+        self.ids.discard(hash(trace))
+        self.lately[0].add(hash(trace))
 
     def refused_input(self, fault: str, status: int) -> None:
         log.warning("request_malformed", fault=fault, status=status)
 
     def arrival(self, request: ClientRequest) -> Arrival | int:
-        """What the module is told of a request, or the status that answers what is none."""
-        steps = request.steps()
+        """What the module is told of a request, whose id is open from here on; or the status that answers
+        what is none."""
+        steps, trace = request.steps(), hash(request.trace)
         klass = self.classes.get(steps[0]) if steps else None
         patience = messages.patience(request.expires)
         if klass is None or not request.trace or patience is None or patience < 0:
-            self.refused_input(f"class, id or deadline of {request.path[:80]!r}", 400)
             return 400
+        if trace in self.ids or trace in self.lately[0] or trace in self.lately[1]:
+            # guards against running a request of this id twice, and against an answer for the wrong one
+            return 409
         if patience == 0:
             return 504
+        self.ids.add(trace)
         return Arrival(
             self.owner.number(),
             klass,
--- a/linetrack/net/messages.py
+++ b/linetrack/net/messages.py
@@ -24,9 +24,9 @@
 LIST_PATH = "/catalog/members"
 MEMBER_STATES = {"SERVING": Health.UP, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 502: "Bad Gateway",
-    503: "Service Unavailable", 504: "Gateway Timeout",
+    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
+    413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 
 
@@ -234,7 +234,8 @@
 def patience(text: str) -> int | None:
     """`X-Expires-In` in microseconds; None where it is no number."""
     try:
-        seconds = float(text)
+        # an underscore is a sign of Python's own
+        seconds = math.nan if "_" in text else float(text)
     except ValueError:
         return None
     return round(seconds * 1_000_000) if math.isfinite(seconds) else None
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -86,6 +86,7 @@
         accepting = must_live("listener", self.clients.accept)
         must_live("discovery", self.discovery.run)
         must_live("sweep", self.upstreams.sweep)
+        must_live("client sweep", self.clients.sweep)
         must_live("reload", self._reload)
         gc.collect()
         gc.freeze()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,5 +1,6 @@
 """The program's parts in one process: log lines, greenlets that must live, clients that stall."""
 
+import contextlib
 import os
 import socket
 from typing import Any
@@ -7,15 +8,17 @@
 import gevent
 import pytest
 import structlog
+from gevent.lock import BoundedSemaphore
 
 from linetrack.interface import Arrival
 from linetrack.net import clients as clients_module
-from linetrack.net.budget import Budget
+from linetrack.net.budget import CLIENT_KB, LARGE_KB, PROGRAM_MB, Budget
 from linetrack.net.clients import Clients
+from linetrack.net.connection import readable
 from linetrack.net.messages import ClientRequest
-from linetrack.net.owner import Final
+from linetrack.net.owner import Final, clock
 from linetrack.net.sidecar import LINE_EVERY, Sparing, must_live
-from tests.stand_ins import PATIENCE, SECOND, call, turns_until
+from tests.stand_ins import MS, PATIENCE, SECOND, call, turns_until
 
 
 def test_a_flood_of_one_event_is_one_line_a_second_and_a_count() -> None:
@@ -45,15 +48,42 @@
     assert ended == [1]
 
 
-@pytest.mark.parametrize(("memory_mb", "fewest", "most"), [(192, 300, 500), (64, 50, 100), (24, 16, 16)])
-def test_memory_bounds_the_clients_and_a_small_limit_still_serves(
-    memory_mb: int, fewest: int, most: int
+@pytest.mark.parametrize(
+    ("sockets", "memory_mb", "clients", "large"),
+    [(1024, 192, 500, 150), (256, 64, 120, 40), (256, 32, 85, 13), (256, 16, 16, 4)],
+)
+def test_a_small_memory_limit_still_takes_usual_clients(
+    sockets: int, memory_mb: int, clients: int, large: int
 ) -> None:
-    # guards against a limit a little above the program's own need that let one client in at a time
-    assert fewest <= Budget(1024, memory_mb).most_clients <= most
+    # guards against places reckoned by the largest request there may be, when most are small: clients hold up
+    # to a third of the descriptors for requests
+    budget = Budget(sockets, memory_mb)
+    assert budget.most_clients >= clients and budget.large.counter >= large
+    held = budget.most_clients * CLIENT_KB + budget.large.counter * LARGE_KB
+    assert held <= (memory_mb - PROGRAM_MB) * 1024 or memory_mb <= PROGRAM_MB
     assert Budget(64, 192).most_clients >= 10
 
 
+def test_large_requests_wait_for_room_and_small_ones_do_not(clients: Clients) -> None:
+    # guards against large requests that together need more memory than there is
+    clients.budget.large = BoundedSemaphore(1)
+    first, second, small = (connect(clients) for _ in range(3))
+    first.sendall(call(body=b"x" * 60_000))
+    turns_until(lambda: len(clients.owner.told) == 1)  # type: ignore[attr-defined]
+    second.sendall(call(body=b"y" * 60_000))
+    gevent.sleep(0.05)
+    small.sendall(call(body=b"z" * 1000))
+    turns_until(lambda: len(clients.owner.told) == 2)  # type: ignore[attr-defined]
+    told = clients.owner.told  # type: ignore[attr-defined]
+    assert told[1].request.body == b"z" * 1000
+    told[0].reply(Final(200, b"done"))
+    turns_until(lambda: len(told) == 3)
+    assert told[2].request.body == b"y" * 60_000
+    second.close()
+    told[2].reply(Final(200, b"done"))
+    turns_until(lambda: clients.budget.large.counter == 1)
+
+
 class Deaf:
     """In the owner's place: takes requests and answers none."""
 
@@ -96,21 +126,51 @@
         assert wire.recv(65536).startswith(b"HTTP/1.1 200")
 
 
-def test_a_client_that_stalls_half_way_is_told_and_closed(
+def test_a_silent_client_is_let_go_and_never_one_whose_request_is_out(
     clients: Clients, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(clients_module, "STALL", 0.05)
+    # guards against places held for good, and against closing under a request that has come
+    monkeypatch.setattr(clients_module, "WITHIN", 150 * MS)
+    gevent.spawn(clients.sweep)
+    silent, asking = connect(clients), connect(clients)
+    asking.sendall(call())
+    assert silent.recv(1) == b""
+    turns_until(lambda: clients.owner.told)  # type: ignore[attr-defined]
+    gevent.sleep(0.4)
+    clients.owner.told[0].reply(Final(200, b"late"))  # type: ignore[attr-defined]
+    assert asking.recv(65536).endswith(b"late")
+    assert asking.recv(1) == b""  # idle since
+    turns_until(lambda: not clients.open)
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_a_request_that_drips_in_is_told_and_closed(
+    clients: Clients, monkeypatch: pytest.MonkeyPatch, first: bool
+) -> None:
+    # guards against a time limit that starts anew with each byte
+    monkeypatch.setattr(clients_module, "WITHIN", 300 * MS)
+    gevent.spawn(clients.sweep)
     wire = connect(clients)
-    wire.sendall(call(body=b"hello")[:-1])
+    if not first:
+        wire.sendall(b"GET /_health HTTP/1.1\r\n\r\n")
+        wire.recv(65536)
+    began = clock()
+    data = iter(call(body=b"x" * 10_000))
+    with gevent.Timeout(PATIENCE), contextlib.suppress(OSError):
+        while not readable(wire):
+            wire.sendall(bytes([next(data)]))
+            gevent.sleep(0.01)
     assert wire.recv(65536).startswith(b"HTTP/1.1 408") and wire.recv(1) == b""
     assert not clients.owner.told  # type: ignore[attr-defined]
+    assert clock() - began >= 150 * MS
 
 
 def test_a_client_that_takes_no_answer_is_let_go(clients: Clients, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients_module, "STALL", 0.05)
+    monkeypatch.setattr(clients_module, "WITHIN", 50 * MS)
+    gevent.spawn(clients.sweep)
     wire = connect(clients)
     wire.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    with gevent.Timeout(PATIENCE):
+    with gevent.Timeout(PATIENCE), contextlib.suppress(OSError):
         for _ in range(200):
             wire.sendall(call())
             gevent.sleep(0.005)
@@ -119,13 +179,40 @@
             clients.owner.told.clear()  # type: ignore[attr-defined]
             if not clients.open:
                 break
-        while clients.open:
-            gevent.sleep(0.005)
+    turns_until(lambda: not clients.open)
+
+
+def test_silent_ones_make_way_before_any_that_has_asked(clients: Clients) -> None:
+    # guards against connections by the hundred that say nothing in the places of those that ask
+    clients.budget.most_clients = 20
+    asking = connect(clients)
+    asking.sendall(b"GET /_health HTTP/1.1\r\n\r\n")
+    assert asking.recv(65536).startswith(b"HTTP/1.1 200")
+    silent = [connect(clients) for _ in range(100)]
+    late = connect(clients)
+    late.sendall(b"GET /_health HTTP/1.1\r\n\r\n")
+    assert late.recv(65536).startswith(b"HTTP/1.1 200")
+    assert not readable(asking) and readable(silent[0])
+    asking.sendall(b"GET /_health HTTP/1.1\r\n\r\n")
+    assert asking.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_ids_are_forgotten_once_no_copy_can_be_on_its_way(
+    clients: Clients, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clients_module, "WITHIN", 100 * MS)
+    gevent.spawn(clients.sweep)
+    request = ClientRequest("GET", "/look", "1", expires="0.5")
+    assert isinstance(clients.arrival(request), Arrival) and clients.arrival(request) == 409
+    clients.over("1")
+    assert clients.arrival(request) == 409
+    turns_until(lambda: not clients.ids and not any(clients.lately))
+    assert isinstance(clients.arrival(request), Arrival)
 
 
 def test_what_the_module_is_told_of_a_request(clients: Clients) -> None:
     props = {"party": "3", "workUs": "12000", "update": "1", "other": "x"}
     request = ClientRequest("GET", "/look/a/k7?q=1", "1", expires="0.5", again=True, props=props)
     assert clients.arrival(request) == Arrival(1, 0, SECOND // 2, 3, "k7", 12000, True, True)
-    odd = ClientRequest("GET", "/look", "1", expires="9e99", props={"party": "-1", "workUs": "x" * 99})
+    odd = ClientRequest("GET", "/look", "2", expires="9e99", props={"party": "-1", "workUs": "x" * 99})
     assert clients.arrival(odd) == Arrival(1, 0, 2 * SECOND)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -1,6 +1,7 @@
 """The program, started by the command of `run`, spoken to over sockets."""
 
 import contextlib
+import json
 import os
 import re
 import signal
@@ -8,6 +9,8 @@
 import subprocess
 import sys
 import threading
+import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +20,7 @@
     MS,
     ROOT,
     SECOND,
+    Discovery,
     Message,
     Sidecar,
     Upstream,
@@ -189,6 +193,7 @@
 # --- Bad input -------------------------------------------------------------------------------------
 
 PROPER = ("X-Trace-Id: 1", "X-Expires-In: 2.0")
+BOTH = ("Content-Length: 5", "Transfer-Encoding: chunked")
 BAD: list[tuple[str, bytes, int]] = [
     ("no HTTP", b"HELLO\r\n\r\n", 400),
     ("an unknown class", request("/other/k", "GET", *PROPER), 400),
@@ -200,6 +205,16 @@
     ("a negative deadline", call(expires="-1"), 400),
     ("a deadline already over", call(expires="0"), 504),
     ("two lengths", request("/look/k", "POST", *PROPER, "Content-Length: 1", "Content-Length: 2"), 400),
+    ("a length twice", request("/look/k", "POST", *PROPER, "Content-Length: 0", "Content-Length: 0"), 400),
+    ("a length with a sign", request("/look/k", "POST", *PROPER, "Content-Length: +1") + b"x", 400),
+    ("a negative length", request("/look/k", "POST", *PROPER, "Content-Length: -1") + b"x", 400),
+    ("a length with a space", request("/look/k", "POST", *PROPER, "Content-Length: 1 1") + b"x", 400),
+    ("a length and chunks", request("/look/k", "POST", *PROPER, *BOTH) + b"0\r\n\r\n" + call(), 400),
+    ("chunks and a length", request("/look/k", "POST", *PROPER, *BOTH[::-1]) + b"0\r\n\r\n" + call(), 400),
+    ("a wrong chunk size", request("/look/k", "POST", *PROPER, BOTH[1]) + b"zz\r\n", 400),
+    ("a huge chunk size", request("/look/k", "POST", *PROPER, BOTH[1]) + b"fffffff\r\n" + b"x" * 70_000, 413),
+    ("a chunk size beyond all", request("/look/k", "POST", *PROPER, BOTH[1]) + b"f" * 40 + b"\r\n", 400),
+    ("a deadline with other signs", call(expires="1_0"), 400),
     ("a body too large", request("/look/k", "POST", *PROPER, "Content-Length: 70000"), 413),
     ("a body too large, sent", request("/look/k", "POST", *PROPER, body=b"x" * 200_000), 413),
     ("a head too large", request("/look/k", "GET", *PROPER, "X-A: " + "y" * 50_000), 431),
@@ -235,6 +250,41 @@
     wire.sock.close()
 
 
+def test_an_id_that_is_open_or_was_a_moment_ago_is_turned_away(tmp_path: Path) -> None:
+    # guards against one client's request run and answered under the id of another's
+    let = threading.Event()
+
+    def script(request: Message, wire: Wire) -> bytes:
+        let.wait(20)
+        return answer(request.target.encode())
+
+    server = Upstream("a", script)
+    with World(tmp_path, server) as sidecar:
+        first = sidecar.connect()
+        first.sock.sendall(request("/look/mine", "GET", "X-Trace-Id: 7", "X-Expires-In: 2.0"))
+        until(lambda: server.seen)
+        copy = request("/look/theirs", "GET", "X-Trace-Id: 7", "X-Expires-In: 2.0")
+        assert sidecar.talk(copy).status == 409
+        let.set()
+        reply = first.read()
+        assert reply and reply.body == b"/look/mine"
+        assert sidecar.talk(copy).status == 409
+        assert len(server.seen) == 1
+        first.sock.close()
+
+
+def test_nothing_behind_what_is_no_request_is_served(serving: tuple[Sidecar, Upstream]) -> None:
+    sidecar, server = serving
+    seen = len(server.seen)
+    for data in (request("/other/k", "GET", *PROPER), request("/look/k", "GET")):
+        wire = sidecar.connect()
+        wire.sock.sendall(data + call())
+        reply = wire.read()
+        assert reply and reply.status == 400 and wire.ended()
+        wire.sock.close()
+    assert len(server.seen) == seen
+
+
 def test_a_client_that_closes_half_way_is_forgotten(serving: tuple[Sidecar, Upstream]) -> None:
     sidecar, _ = serving
     for data in (b"", b"GET /lo", call(body=b"hello")[:-2]):
@@ -294,6 +344,86 @@
         assert "accept_failed" not in sidecar.log()
 
 
+# --- Reload ----------------------------------------------------------------------------------------
+
+
+def reload(sidecar: Sidecar, text: str) -> None:
+    assert sidecar.process is not None
+    (sidecar.folder / "config.json").write_text(text)
+    sidecar.process.send_signal(signal.SIGHUP)
+
+
+def test_a_new_discovery_is_in_force_after_sighup_and_requests_notice_nothing(tmp_path: Path) -> None:
+    a, b = Upstream("a"), Upstream("b")
+    world = World(tmp_path, a)
+    with world as sidecar:
+        assert sidecar.ask().body == b"a"
+        wire = sidecar.connect()
+        for _ in range(2):
+            other = Discovery([b.entry()])
+            sidecar.config["discovery"] = other.address
+            reload(sidecar, json.dumps(sidecar.config))
+            until(partial(lambda name: sidecar.ask().body == name, b.name.encode()))
+            wire.sock.sendall(call())
+            reply = wire.read()
+            assert reply and reply.body == b.name.encode()
+            a, b = b, a
+            other.close()
+        wire.sock.close()
+        assert sidecar.end() == 0
+
+
+def test_the_file_names_discovery_before_the_environment(tmp_path: Path) -> None:
+    # guards against an environment that stays as it was and hides what the new file says
+    world, other = World(tmp_path, Upstream("a")), Discovery([])
+    world.sidecar.environ["EDGE_DISCOVERY"] = world.discovery.address
+    with world as sidecar:
+        until(lambda: world.discovery.calls)
+        sidecar.config["discovery"] = other.address
+        reload(sidecar, json.dumps(sidecar.config))
+        until(lambda: other.calls)
+    other.close()
+
+
+def faulty(values: dict[str, Any]) -> list[tuple[str, str]]:
+    classes = {**values["settings"], "classes": [{"name": "look", "deadlineUs": "soon"}]}
+    return [
+        (json.dumps(values)[:200], "EDGE_CONFIG"),
+        ("", "EDGE_CONFIG"),
+        (json.dumps({**values, "discovery": "nowhere"}), "discovery"),
+        (json.dumps({**values, "settings": classes}), "settings.classes.0.deadlineUs"),
+    ]
+
+
+def test_a_faulty_file_is_logged_by_key_and_the_old_one_stays_in_force(tmp_path: Path) -> None:
+    server = Upstream("a")
+    with World(tmp_path, server) as sidecar:
+        for text, key in faulty(dict(sidecar.config)):
+            before = len(sidecar.log())
+            reload(sidecar, text)
+            until(partial(lambda at: "reload_faulty" in sidecar.log()[at:], before))
+            assert f'"{key}' in sidecar.log()[before:]
+            assert sidecar.ask().status == 200
+            time.sleep(1.0)  # a line of one event a second
+        (tmp_path / "config.json").unlink()
+        assert sidecar.process is not None
+        sidecar.process.send_signal(signal.SIGHUP)
+        until(lambda: "No such file" in sidecar.log())
+        reload(sidecar, json.dumps({**sidecar.config, "name": "other", "limits": {"sockets": 100}}))
+        until(lambda: "reloaded" in sidecar.log())
+        assert '"needs_restart": ["limits.sockets", "name"]' in sidecar.log()
+        assert sidecar.end() == 0
+
+
+def test_sighup_on_the_way_out_changes_nothing(tmp_path: Path) -> None:
+    with World(tmp_path, Upstream("a")) as sidecar:
+        assert sidecar.process is not None
+        sidecar.process.send_signal(signal.SIGTERM)
+        until(lambda: "leaving" in sidecar.log())
+        sidecar.process.send_signal(signal.SIGHUP)
+        assert sidecar.process.wait(20) == 0
+
+
 # --- Start and exit --------------------------------------------------------------------------------
 
 
