--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -195,7 +195,7 @@
         self.mean_worth = 0.0
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
         self.served = [1.0] * len(settings.classes)
-        self.mean_work = 0.0
+        self.mean_work = self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
         self.heard_at = self.cold_until = 0
@@ -326,7 +326,7 @@
         if pool is None:
             kind = self.kinds.get(upstream.kind)
             pool = self.pooled[upstream.kind] = kind.beside(self.now, 0.0) if kind else 0.0
-        return upstream.pace.beside(self.now, pool) if upstream.pace.weight else pool
+        return (upstream.pace.beside(self.now, pool) if upstream.pace.weight else pool) - self.mean_pace
 
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent now."""
@@ -694,6 +694,12 @@
         kind.add(self.now, rest - crowd)
         upstream.pace.add(self.now, rest - crowd)
         size.add(self.now, took - self.calm - crowd - pace)
+        # guards against a calm pace that sinks as the parts beside it rise: their means over all answers are kept
+        # at nought, so that crowding alone is what takes longer than calm
+        self.mean_pace += SMOOTH / 4 * pace
+        mean = sum(share * s.beside(self.now, 0.0) for share, s in zip(self.asked, self.sizes, strict=True))
+        for each in self.sizes:
+            each.value -= mean
         self.work.add(self.now, math.exp(min(took - crowd - pace, self.calm + 3)))
 
     # --- Cold start ------------------------------------------------------------------------------
