--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -54,6 +54,7 @@
 SHARPNESS = 6.0  # penalty = (expected completion / zone's mean) ** this
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
+HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
 BUDGET_BURST = 8.0  # and at most so many at once
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
@@ -797,7 +798,12 @@
             upstream.cold_sent.append(self.now)
         self.actions.append(Send(request.number, upstream.name))
         if self.s.parallel and request.klass.effect is not Effect.UNSAFE and expected:
-            self.actions.append(SetTimer(int(HEDGE_AFTER * expected) + 1, f"copy:{request.number}"))
+            # guards against copies, and their crossings, that buy nothing: one is early enough while it is likely
+            # to be in time itself
+            copy = request.scale * self._expected(request.second) if request.second else expected
+            left = request.klass.aim - (self.now - request.at)
+            after = max(HEDGE_AFTER * expected, left - HEDGE_ROOM * copy)
+            self.actions.append(SetTimer(int(after) + 1, f"copy:{request.number}"))
         return True
 
     def _end(self, request: Request) -> None:
