--- a/linetrack/interface.py
+++ b/linetrack/interface.py
@@ -2,6 +2,8 @@
 
 Protocol-neutral: an adapter turns its own words into these and back.  All times are integer
 microseconds; `now` is the only clock.  Upstream names are opaque text, request ids opaque numbers.
+Nothing here changes once made; what is made for each request is not frozen, as that costs three times as
+much.
 """
 
 from __future__ import annotations
@@ -140,7 +142,7 @@
     entries: tuple[Entry, ...] = ()
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Arrival:
     """A client's request; from here on it is owed one final answer within `patience`."""
 
@@ -164,7 +166,7 @@
     latency: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ended:
     """An attempt has ended; `over` tells that its request has its final answer."""
 
@@ -204,7 +206,7 @@
 Event = FleetNews | Arrival | Begun | Ended | ClientLeft | TimerDue | ProbeEnded | PeerMessage
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Send:
     """Start the request's next attempt; a timeout of 0 means until the client gives up."""
 
@@ -234,7 +236,7 @@
     attempt: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class SetTimer:
     after: int
     token: str
--- a/linetrack/net/budget.py
+++ b/linetrack/net/budget.py
@@ -7,24 +7,29 @@
 
 from collections.abc import Callable
 
-from gevent.lock import BoundedSemaphore
+import gevent
 
 RESERVE = 40  # standard streams, the event loop's own, the listener, discovery, files read at start
 UPSTREAM_SHARE = 0.4  # of the rest, kept for upstreams: clients wait in the backlog beyond it
 PROGRAM_MB = 20  # the program itself, with nothing on its connections
 CLIENT_KB = 64  # a client's connection with a small request, its attempts and their greenlets
+FEWEST = 16  # clients let in however little memory there is
 SMALL = 8 * 1024  # bytes of a body that are counted in that; most messages are far smaller than the most
-LARGE_KB = 448  # the most that a larger request, its copies and its answer hold at once
-FEWEST = 16, 4  # clients and large messages let in however little memory there is
+COPIES = 4  # of a larger body that are held at once: as it came, put together, as it goes on, as it is sent
+ANSWER_SHARE = 32  # an answer is at most this part of the memory limit
+WAIT = 0.005  # seconds until it is looked again whether a large body has room
 
 
 class Budget:
     def __init__(self, sockets: int, memory_mb: int) -> None:
         self.most = sockets - RESERVE
         # half of what memory is left for connections, half for what is large on some of them
-        half = (memory_mb - PROGRAM_MB) * 1024 // 2
-        self.most_clients = min(int(self.most * (1 - UPSTREAM_SHARE)), max(FEWEST[0], half // CLIENT_KB))
-        self.large = BoundedSemaphore(max(FEWEST[1], half // LARGE_KB))
+        half = max(0, memory_mb - PROGRAM_MB) * 1024 * 1024 // 2
+        self.most_clients = min(
+            int(self.most * (1 - UPSTREAM_SHARE)), max(FEWEST, half // (CLIENT_KB * 1024))
+        )
+        self.most_held, self.held = half, 0
+        self.most_answer = memory_mb * 1024 * 1024 // ANSWER_SHARE
         self.used = self.clients = 0
         self.shrink: Callable[[], bool] = lambda: False
 
@@ -48,3 +53,15 @@
     def give_back_client(self) -> None:
         self.clients -= 1
         self.give_back()
+
+    def hold(self, size: int) -> int:
+        """Wait until a body of so many bytes has room; what was taken for it, nothing for a small one.
+
+        Guards against large bodies that together need more memory than there is; one alone always has room.
+        """
+        if size <= SMALL:
+            return 0
+        while self.held and self.held + COPIES * size > self.most_held:
+            gevent.sleep(WAIT)
+        self.held += COPIES * size
+        return COPIES * size
--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -19,9 +19,9 @@
 from linetrack.interface import Arrival
 from linetrack.net import messages
 from linetrack.net.budget import SMALL, Budget
-from linetrack.net.connection import READ_SIZE, readable
+from linetrack.net.connection import READ_SIZE, ended, readable
 from linetrack.net.messages import ClientRequest, MalformedError, RequestReader
-from linetrack.net.owner import Final, Left, Owner, Taken, clock
+from linetrack.net.owner import NEVER, Final, Left, Owner, Taken, clock
 
 log = structlog.get_logger()
 
@@ -34,13 +34,25 @@
 ROOM_WAIT = 0.01  # seconds until it is looked again whether there is room for a connection
 LAST_WORD = 500_000  # microseconds in which a client that was turned away may read why
 LAST_BYTES = 256 * 1024  # and how much of what it still sends is read away meanwhile
-NEVER = 2**63  # no time of ours
+READ = 1  # the event loop's name for it
 
 
 class Client:
     """One connection of the application."""
 
-    __slots__ = ("asked", "busy", "clients", "due", "greenlet", "large", "reader", "seen", "sock", "whole")
+    __slots__ = (
+        "asked",
+        "busy",
+        "clients",
+        "due",
+        "greenlet",
+        "held",
+        "reader",
+        "seen",
+        "sock",
+        "watch",
+        "whole",
+    )
 
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
         self.sock, self.clients = sock, clients
@@ -50,8 +62,10 @@
         self.due = self.seen + WITHIN  # when whoever holds it up now is out of time
         self.asked = False  # a whole request has come on it
         self.busy = False  # a request is with the owner or its answer on the way
-        self.large = False  # room is held for a large request
+        self.held = 0  # memory held for a large request
         self.greenlet = gevent.Greenlet(self.serve)
+        # one watcher a connection, not a greenlet a request: it runs in the event loop and must never wait
+        self.watch = gevent.get_hub().loop.io(sock.fileno(), READ)
 
     def idle(self) -> bool:
         """Between requests, as far as can be seen."""
@@ -71,15 +85,16 @@
             # guards against a greenlet that ends silently
             log.exception("client_broke")
         finally:
+            self.watch.close()
             self.sock.close()
+            self.reader.close()
             self._let_go()
             self.clients.ended(self)
 
     def _let_go(self) -> None:
         """What was large on this connection is over."""
-        if self.large:
-            self.clients.budget.large.release()
-            self.large = False
+        self.clients.budget.held -= self.held
+        self.held = 0
 
     def out_of_time(self) -> None:
         """Called by the sweep: what waits for the client ends."""
@@ -102,10 +117,8 @@
             if self.reader.open and not begun and self.asked:
                 # guards against a limit that starts anew with each byte, or that a first byte puts off
                 self.due = self.seen + WITHIN
-            if self.reader.size > SMALL and not self.large:
-                # guards against large requests that together need more memory than there is: they wait unread
-                self.clients.budget.large.acquire()
-                self.large = True
+            if self.reader.size > SMALL and not self.held:
+                self.held = self.clients.budget.hold(messages.MOST_BODY)
         self.asked = True
         return True
 
@@ -119,22 +132,19 @@
             raise MalformedError(f"class, id or deadline of {request.path[:80]!r}", arrival)
         result: AsyncResult[Final | None] = AsyncResult()
         self.clients.owner.put(Taken(request, arrival, result.set), self.seen)
-        watch = gevent.spawn(self._watch, arrival.request, result)
+        self.watch.start(self._look, arrival.request, result)
         try:
             final = result.get()
         finally:
-            watch.kill()
+            self.watch.stop()
             self.clients.over(request.trace)
         return final is not None and self._answer(request, final)
 
-    def _watch(self, number: int, result: AsyncResult[Final | None]) -> None:
-        """While the request is out: a client that closes has gone away, and the owner is told."""
-        try:
-            socket.wait_read(self.sock.fileno())
-            gone = not self.sock.recv(1, socket.MSG_PEEK)
-        except OSError:
-            gone = True
-        if gone and not result.ready():
+    def _look(self, number: int, result: AsyncResult[Final | None]) -> None:
+        """While the request is out something came: a client that closes has gone away, and the owner is
+        told."""
+        self.watch.stop()
+        if ended(self.sock) and not result.ready():
             self.clients.owner.put(Left(number), clock())
             result.set(None)
 
--- a/linetrack/net/connection.py
+++ b/linetrack/net/connection.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import select
+from collections.abc import Callable
 
-import gevent
 from gevent import socket
 
-from linetrack.net.messages import MOST_BODY, Answer, AnswerReader, MalformedError
+from linetrack.net.messages import Answer, AnswerReader, MalformedError
 
 READ_SIZE = 64 * 1024
 
@@ -18,7 +18,7 @@
 class Connection:
     __slots__ = ("address", "idle_since", "reader", "sock")
 
-    def __init__(self, address: tuple[str, int], most_body: int = MOST_BODY) -> None:
+    def __init__(self, address: tuple[str, int], most_body: int) -> None:
         self.address = address
         self.reader = AnswerReader(most_body)
         self.idle_since = 0
@@ -33,19 +33,34 @@
             # guards against the dial's time-out ending each read that is quiet for longer
             self.sock.settimeout(None)
         except BaseException:
-            self.sock.close()
+            self.close()
             raise
 
-    def read(self, within: float) -> Answer | None:
-        """The answer, whole; None where the connection ended first.  One that has begun must be whole in so
-        many seconds: guards against a connection held for as long as an answer without end keeps coming, or
-        stands."""
+    def close(self) -> None:
+        self.sock.close()
+        self.reader.close()
+
+    def read(self, within: float, room: Callable[[int], None]) -> Answer | None:
+        """The answer, whole; None where the connection ended first.  `room` is told once of a large one.
+
+        Guards against an answer that has begun and then stands still for so many seconds: it would hold the
+        connection and its request for as long as the client waits.
+        """
         data = self.sock.recv(READ_SIZE)
         answer = self.reader.feed(data) if data else None
         if answer is None and data:
-            with gevent.Timeout(within, MalformedError("the answer does not end")):
-                while answer is None and (data := self.sock.recv(READ_SIZE)):
-                    answer = self.reader.feed(data)
+            told = False
+            self.sock.settimeout(within)
+            while answer is None and data:
+                if self.reader.headed and not told:
+                    told = True
+                    room(self.reader.announced())
+                try:
+                    data = self.sock.recv(READ_SIZE)
+                except TimeoutError:
+                    raise MalformedError("the answer stands still") from None
+                answer = self.reader.feed(data) if data else None
+            self.sock.settimeout(None)
         return answer
 
 
@@ -56,3 +71,10 @@
     poll = select.poll()
     poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
     return bool(poll.poll(0))
+
+
+def ended(sock: socket.socket) -> bool:
+    """Whether the other side has closed its end, whatever it may have sent before."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+    return bool(poll.poll(0))
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -107,17 +107,17 @@
                     # guards against calls without pause where discovery does not wait for news
                     gevent.sleep(NO_NEWS)
                 if not answer.keep or line.reader.stray:
-                    line.sock.close()
+                    line.close()
                     line = None
         finally:
             if line is not None:
-                line.sock.close()
+                line.close()
 
     def _call(self, line: Connection, within: float) -> Answer:
         """One call's answer, whole; raises where none comes in time."""
         with gevent.Timeout(within, TimeoutError("discovery did not answer")):
             line.sock.sendall(messages.encode_list_call(self.address, self.version, HOLD_MS))
-            answer = line.read(within)
+            answer = line.read(within, lambda size: None)
         if answer is None:
             raise MalformedError("discovery closed the connection")
         line.reader.next()
--- a/linetrack/net/messages.py
+++ b/linetrack/net/messages.py
@@ -17,7 +17,7 @@
 
 from linetrack.interface import Health
 
-MOST_BODY = 64 * 1024
+MOST_BODY = 64 * 1024  # of a request
 MOST_HEAD = 16 * 1024
 MOST_LIST = 16 * 1024 * 1024  # a discovery answer: thousands of entries with room to spare
 READY_PATH = "/_health"
@@ -38,7 +38,7 @@
         self.status = status
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class ClientRequest:
     """One whole request from the application, as its bytes say."""
 
@@ -61,7 +61,7 @@
         return [part for part in self.path.split("/") if part]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Answer:
     """One whole answer from an upstream or from discovery."""
 
@@ -114,6 +114,11 @@
             raise MalformedError("the body is too large", 413)
         self.chunks.append(body)
 
+    def close(self) -> None:
+        """Nothing more is read: parser and reader hold each other, which only a full collection would
+        notice."""
+        self.parser: Any = None
+
     def text(self, name: bytes) -> str:
         return self.headers.get(name, b"").decode("latin-1").strip()
 
@@ -187,7 +192,7 @@
 class AnswerReader(_Message):
     """Bytes of one connection to an upstream or to discovery to one whole answer at a time."""
 
-    def __init__(self, most_body: int = MOST_BODY) -> None:
+    def __init__(self, most_body: int) -> None:
         super().__init__(most_body)
         self.parser = httptools.HttpResponseParser(self)
         self.whole: Answer | None = None
@@ -211,6 +216,11 @@
             keep,
         )
 
+    def announced(self) -> int:
+        """Bytes of the body at hand, as its head says; the most there may be where it does not."""
+        length = next(iter(self.lengths), b"")
+        return int(length) if length.isdigit() else self.most_body
+
     def feed(self, data: bytes) -> Answer | None:
         """The answer, once it is whole; what follows it makes the connection useless, not the answer."""
         try:
--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -9,6 +9,7 @@
 
 import heapq
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
@@ -16,7 +17,7 @@
 
 import gevent
 import structlog
-from gevent.queue import Empty, SimpleQueue
+from gevent.event import Event
 
 from linetrack import interface as i
 from linetrack.net.messages import Answer, ClientRequest
@@ -29,11 +30,14 @@
 _START = time.time_ns() - time.monotonic_ns()
 
 
+NEVER = 2**63  # no time of ours
+
+
 def clock() -> int:
     return (_START + time.monotonic_ns()) // 1000
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Final:
     """A request's one final answer: an upstream's, a refusal (503, with advice) or a failure (502)."""
 
@@ -83,7 +87,7 @@
         self.sock: Socket | None = None  # what its greenlet waits on: giving up closes it
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Taken:
     """A client's request has been read whole."""
 
@@ -97,7 +101,7 @@
     number: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Done:
     """An attempt has ended."""
 
@@ -122,7 +126,9 @@
     ) -> None:
         self.balancer = Balancer(settings, seed)
         self.start, self.give_up, self.watch = start, give_up, watch
-        self.queue: SimpleQueue[tuple[int, Item]] = SimpleQueue()
+        self.queue: deque[tuple[int, Item]] = deque()
+        self.rung = Event()
+        self.alarm, self.alarm_due = gevent.get_hub().loop.timer(0), NEVER
         self.now = clock()
         self.open: dict[int, Open] = {}
         self.timers: list[tuple[int, int, i.TimerDue | Attempt]] = []
@@ -132,7 +138,8 @@
 
     def put(self, item: Item, seen: int) -> None:
         """Called from any greenlet: `seen` is when the socket showed it."""
-        self.queue.put((seen, item))
+        self.queue.append((seen, item))
+        self.rung.set()
 
     def number(self) -> int:
         """A new request's number; never used twice."""
@@ -150,17 +157,26 @@
 
     def _next(self) -> tuple[int, Item] | None:
         """The next thing told, or None once the next timer is due."""
-        try:
-            item: tuple[int, Item]
-            if not self.timers:
-                item = self.queue.get()
-            elif (wait := self.timers[0][0] - clock()) > 0:
-                item = self.queue.get(timeout=wait / 1_000_000)
-            else:
-                item = self.queue.get_nowait()
-            return item
-        except Empty:
-            return None
+        while not self.queue:
+            if self.timers and self.timers[0][0] <= clock():
+                return None
+            self._sleep()
+        return self.queue.popleft()
+
+    def _sleep(self) -> None:
+        """Until something is told or the next timer is due: one alarm for all timers, set anew only for an
+        earlier one, as most sleeps end long before it."""
+        if self.timers and self.timers[0][0] < self.alarm_due:
+            self.alarm_due = self.timers[0][0]
+            self.alarm.close()
+            self.alarm = gevent.get_hub().loop.timer(max(0, self.alarm_due - clock()) / 1_000_000)
+            self.alarm.start(self._ring)
+        self.rung.clear()
+        self.rung.wait()
+
+    def _ring(self) -> None:
+        self.alarm_due = NEVER
+        self.rung.set()
 
     def _due(self, now: int) -> None:
         """Timers that were due by then, in their order, each at its own time."""
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -31,6 +31,7 @@
 LOOK = 0.01  # seconds between looks whether all is answered
 LINE_EVERY = 1_000_000  # microseconds between two log lines of one event
 GC_THRESHOLD = 20_000  # a collection costs milliseconds: seldom, over what is young only
+TIDY = 5.0  # seconds between collections over all that came since the start, so that memory stays level
 
 
 class Phase(Enum):
@@ -88,6 +89,7 @@
         must_live("sweep", self.upstreams.sweep)
         must_live("client sweep", self.clients.sweep)
         must_live("reload", self._reload)
+        must_live("tidying", _tidy)
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
@@ -120,6 +122,12 @@
             self.discovery.move(new.discovery)
 
 
+def _tidy() -> None:
+    while True:
+        gevent.sleep(TIDY)
+        gc.collect()
+
+
 def must_live(name: str, work: Callable[[], None]) -> gevent.Greenlet:
     """A greenlet without which the program is no use: if it breaks, the process ends, loudly."""
 
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -76,7 +76,7 @@
 
     # --- Idle connections --------------------------------------------------------------------------
     def _close(self, connection: Connection) -> None:
-        connection.sock.close()
+        connection.close()
         self.budget.give_back()
 
     def _close_idle(self, known: Known) -> None:
@@ -129,7 +129,12 @@
 
     def _run(self, attempt: Attempt) -> None:
         connection: Connection | None = None
-        written = False
+        written, held = False, 0
+
+        def room(size: int) -> None:
+            nonlocal held
+            held = self.budget.hold(size)
+
         try:
             known = self.known.get(attempt.upstream)
             if known is None:
@@ -146,7 +151,7 @@
             remaining = attempt.until - clock()
             connection.sock.sendall(encode_request(attempt.open.request, connection.address, remaining))
             written = True
-            answer = connection.read(self.dial_timeout / 1_000_000)
+            answer = connection.read(self.dial_timeout / 1_000_000, room)
             seen = clock()
             if answer is None:
                 self._finish(attempt, Outcome.RESET, seen=seen)
@@ -169,6 +174,7 @@
             log.exception("attempt_broke", upstream=attempt.upstream)
             self._finish(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
         finally:
+            self.budget.held -= held
             if connection is not None:
                 self._close(connection)
 
@@ -186,7 +192,7 @@
             self._finish(attempt, Outcome.CONNECT_FAILED)
             return None
         try:
-            connection = Connection(known.address)
+            connection = Connection(known.address, self.budget.most_answer)
             attempt.sock = connection.sock
             connection.dial(self.dial_timeout / 1_000_000)
             return connection
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -441,16 +441,21 @@
         odds = self._pulled(request, home, self._odds(at_home, home, mean))
         far = self._pulled(request, away, self._odds(abroad, away, mean))
         pick, other = self._draw(home, odds), self._draw(away, far)
-        if pick is not None and self._net(request, home[pick], at_home[pick]) < 0:
+        nets = [self._net(request, u, e) for u, e in zip(home, at_home, strict=True)]
+        worthy = [o if net >= 0 else 0.0 for o, net in zip(odds, nets, strict=True)]
+        if pick is not None and nets[pick] < 0 and any(worthy):
             # guards against refusing for one bad draw: drawn again among those worth the work
-            worthy = [self._net(request, u, e) >= 0 for u, e in zip(home, at_home, strict=True)]
-            if any(worthy):
-                pick = self._draw(home, [o * w for o, w in zip(odds, worthy, strict=True)])
-        request.first, expected = (home[pick], at_home[pick]) if pick is not None else (None, 0.0)
-        if other is not None and (
-            pick is None or self._spill(request, home, at_home, odds, away[other], abroad[other])
-        ):
-            request.first, expected = away[other], abroad[other]
+            pick = self._draw(home, worthy)
+        request.first = None
+        if pick is not None:
+            request.first, request.net = home[pick], nets[pick]
+        if other is not None:
+            # spillover: the own zone is short, and the worth gained over a usual draw exceeds the crossing's
+            # price
+            gain = self._net(request, away[other], abroad[other])
+            usual = sum(o * net for o, net in zip(worthy, nets, strict=True)) / (sum(worthy) or 1.0)
+            if pick is None or gain - self.s.price_cross > usual:
+                request.first, request.net = away[other], gain
         cross = 1 + self.s.price_cross * CROSS_AVERSION
         rest, share = home + away, odds + [o / cross for o in far]
         if request.first is not None:
@@ -458,18 +463,15 @@
             del rest[at], share[at]
         second = self._draw(rest, share)
         request.second = rest[second] if second is not None else None
-        if request.first is not None:
-            request.net = self._net(request, request.first, expected)
 
     # --- Admission -------------------------------------------------------------------------------
     def _weigh(self, request: Request) -> None:
         """A request's worth and cost that are the same for every upstream, in worths of a mean request."""
         klass, classes = request.arrival.klass, range(len(self.s.classes))
         scales = [self._scale(n) for n in classes]
-        worths = [self._class_worth(n) for n in classes]
         work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
         size = request.size = work if work and self.s.worth_by_work else scales[klass]
-        request.scale, request.value = scales[klass], worths[klass] * size / scales[klass]
+        request.scale, request.value = scales[klass], self._class_worth(klass) * size / scales[klass]
         # guards against a jam taken for slow upstreams: lateness itself makes work dearer
         request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
@@ -511,26 +513,6 @@
             0.01, self.asked[klass]
         )
 
-    def _spill(
-        self,
-        request: Request,
-        home: list[Upstream],
-        at_home: list[float],
-        odds: list[float],
-        other: Upstream,
-        abroad: float,
-    ) -> bool:
-        """Spillover: the own zone is short and the worth gained exceeds the crossing's price."""
-        gain = self._net(request, other, abroad) - self.s.price_cross
-        if gain <= 0:
-            return False
-        nets = [self._net(request, u, e) for u, e in zip(home, at_home, strict=True)]
-        worthy = sum(o for o, net in zip(odds, nets, strict=True) if net >= 0)
-        drawn = (
-            sum(o * net for o, net in zip(odds, nets, strict=True) if net >= 0) / worthy if worthy else 0.0
-        )
-        return gain > drawn
-
     def _observe(self, arrival: Arrival) -> None:
         for n in range(len(self.asked)):
             self.asked[n] += SMOOTH / 8 * ((n == arrival.klass) - self.asked[n])
@@ -695,8 +677,8 @@
         kind.add(self.now, rest - crowd)
         upstream.pace.add(self.now, rest - crowd)
         size.add(self.now, took - self.calm - crowd - pace)
-        # guards against a calm pace that sinks as the parts beside it rise: their means over all answers are kept
-        # at nought, so that crowding alone is what takes longer than calm
+        # guards against a calm pace that sinks as the parts beside it rise: their means over all answers are
+        # kept at nought, so that crowding alone is what takes longer than calm
         self.mean_pace += SMOOTH / 4 * pace
         mean = sum(share * s.beside(self.now, 0.0) for share, s in zip(self.asked, self.sizes, strict=True))
         for each in self.sizes:
@@ -798,8 +780,8 @@
             upstream.cold_sent.append(self.now)
         self.actions.append(Send(request.number, upstream.name))
         if self.s.parallel and request.klass.effect is not Effect.UNSAFE and expected:
-            # guards against copies, and their crossings, that buy nothing: one is early enough while it is likely
-            # to be in time itself
+            # guards against copies, and their crossings, that buy nothing: one is early enough while it is
+            # likely to be in time itself
             copy = request.scale * self._expected(request.second) if request.second else expected
             left = request.klass.aim - (self.now - request.at)
             after = max(HEDGE_AFTER * expected, left - HEDGE_ROOM * copy)
