Error shares and spells by class: an upstream that fails one class still serves the others

At fault: _learn kept one share of errors and one spell for an upstream, so it was left by both classes and the rest was overloaded.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -116,8 +116,8 @@
 
     __slots__ = (
         "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
-        "heard_at", "kind", "listed_start", "load_at", "name", "others", "out", "pace", "size", "spell",
-        "tag", "until", "zone",
+        "heard_at", "kind", "listed_start", "load_at", "name", "others", "out", "own", "pace", "size",
+        "spells", "tag", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -135,7 +135,13 @@
         self.faults = 0.0  # the share of errors again, over some forty answers
         self.alone = 1.0  # its time for a request while uncrowded, as of its last expectation
         self.pace = Evidence()  # logarithm of its time for a request over that of its kind
-        self.heard_at = self.load_at = self.until = self.spell = 0
+        self.own: dict[
+            int, tuple[float, int]
+        ] = {}  # the share of errors of one class, and when it last answered
+        self.spells: dict[
+            int, tuple[int, int]
+        ] = {}  # by class: how long the unavailable spell is, and until when
+        self.heard_at = self.load_at = 0
         self.answered = 0  # when the latest of those sends was made that have an answer
         self.cold_sent: list[int] = []
         self.credit, self.credit_at = 0.0, entry.started
@@ -342,25 +348,29 @@
                 return max(expected, self.now - oldest.sent - 2 * oldest.expected + expected)
         return expected
 
-    def _sound(self, upstream: Upstream) -> float:
-        """Share of its answers that are no errors, save for what chance brings where most upstreams have
+    def _sound(self, upstream: Upstream, klass: int) -> float:
+        """Share of its answers to a class that are no errors, save for what chance brings where all have
         some.
 
-        Guards against leaving sound upstreams one after the other while any answer may be spoilt alike: a
-        share smoothed over few answers strays from the usual one by up to about its root (three deviations).
+        Guards against leaving sound upstreams one after the other while any answer may be spoilt: a share
+        smoothed over few answers strays from the usual one by up to about its root (three deviations).  And
+        against losing an upstream for all classes when it fails one: a class's own share counts while fresh.
         """
-        return 1 - min(0.9, max(0.0, upstream.errors - math.sqrt(self.usual_errors)))
+        share = upstream.errors
+        if klass in upstream.own:
+            share = self._faded(*upstream.own[klass], share, FORGET_SPEED)
+        return 1 - min(0.9, max(0.0, share - math.sqrt(self.usual_errors)))
 
     def _scale(self, klass: int) -> float:
         """Time of the class's mean request over the mean of all."""
         return math.exp(self.sizes[klass].beside(self.now, 0.0))
 
-    def _odds(self, expected: list[float], upstreams: list[Upstream], mean: float) -> list[float]:
+    def _odds(self, klass: int, expected: list[float], upstreams: list[Upstream], mean: float) -> list[float]:
         """1 / penalty of each: its expected completion over the own zone's mean, per listed size."""
         odds = []
         for upstream, value in zip(upstreams, expected, strict=True):
             # guards against a fast-failing upstream that looks idle: errors count as load
-            sound = self._sound(upstream) ** ERROR_WEIGHT if upstream.errors else 1.0
+            sound = self._sound(upstream, klass) ** ERROR_WEIGHT if upstream.errors else 1.0
             warmth = self._warmth(upstream)
             share = upstream.size * warmth**COLD_WEIGHT
             odds.append(share * sound * max(0.05, value * warmth / mean) ** -SHARPNESS)
@@ -380,13 +390,17 @@
                     (home if upstream.zone == self.s.zone else away).append(upstream)
         # never mark a whole zone unavailable: when all are in a spell, none is
         return (
-            [u for u in home if not u.spell or self._open_to(request, u)] or home,
-            [u for u in away if not u.spell or self._open_to(request, u)] or away,
+            [u for u in home if not u.spells or self._open_to(request, u)] or home,
+            [u for u in away if not u.spells or self._open_to(request, u)] or away,
         )
 
     def _open_to(self, request: Request, upstream: Upstream) -> bool:
         """Out of its spell; the first sends after one are trials with a repeatable request."""
-        return upstream.until <= self.now and request.klass.effect is not Effect.UNSAFE and not upstream.out
+        klass = request.arrival.klass
+        if klass not in upstream.spells:
+            return True
+        alone = all(attempt.klass != klass for attempt in upstream.out.values())
+        return upstream.spells[klass][1] <= self.now and request.klass.effect is not Effect.UNSAFE and alone
 
     def _pulled(self, request: Request, upstreams: list[Upstream], odds: list[float]) -> list[float]:
         """Odds raised by the key, alike at every instance: what lately served a key serves it with less work.
@@ -438,8 +452,8 @@
         abroad = [self._expected(u) for u in away]
         known = at_home or abroad
         mean = max(1.0, sum(known) / len(known)) if known else 1.0
-        odds = self._pulled(request, home, self._odds(at_home, home, mean))
-        far = self._pulled(request, away, self._odds(abroad, away, mean))
+        odds = self._pulled(request, home, self._odds(request.arrival.klass, at_home, home, mean))
+        far = self._pulled(request, away, self._odds(request.arrival.klass, abroad, away, mean))
         pick, other = self._draw(home, odds), self._draw(away, far)
         nets = [self._net(request, u, e) for u, e in zip(home, at_home, strict=True)]
         worthy = [o if net >= 0 else 0.0 for o, net in zip(odds, nets, strict=True)]
@@ -483,7 +497,7 @@
         left = request.klass.aim - (self.now - request.at)
         if left <= 0:
             return 0.0
-        sound = self._sound(upstream)
+        sound = self._sound(upstream, request.arrival.klass)
         late: float = (request.scale * request.stretch * expected / left) ** CHANCE
         return sound / (1 + late)
 
@@ -640,22 +654,28 @@
         if outcome is not Outcome.TIMEOUT:
             upstream.heard_at = self.heard_at = self.now
         failed = not good and outcome is not Outcome.FULL
+        klass = attempt.klass
+        own = upstream.own.get(klass, (upstream.errors, 0))[0]
+        upstream.own[klass] = own + SMOOTH * (failed - own), self.now
         upstream.errors += SMOOTH * (failed - upstream.errors)
         upstream.faults += SMOOTH / 8 * (failed - upstream.faults)
         if failed:
             shares = sorted(u.faults for u in self.fleet.values())
             self.usual_errors = shares[(len(shares) - 1) // 2] if shares else 0.0
+        sick = 1 - self._sound(upstream, klass)
         if good:
             # guards against a flaky upstream let in by one lucky answer: the share must fall first
-            if 1 - self._sound(upstream) < SICK / 3:
-                upstream.spell = 0
+            if sick < SICK / 3:
+                upstream.spells.pop(klass, None)
             return
-        # a full or unreachable upstream says so at once; other failures must repeat, or fail a trial
+        # a full or unreachable upstream says so at once, for all; other failures must repeat, or fail a trial
         plain = outcome in (Outcome.FULL, Outcome.CONNECT_FAILED)
-        if plain or upstream.spell or 1 - self._sound(upstream) >= SICK:
-            if self.now >= upstream.until:
-                upstream.spell = min(SPELL_MAX, 2 * upstream.spell) if upstream.spell else SPELL
-            upstream.until = max(upstream.until, self.now + upstream.spell)
+        if plain or klass in upstream.spells or sick >= SICK:
+            for each in range(len(self.s.classes)) if plain else (klass,):
+                length, until = upstream.spells.get(each, (0, 0))
+                if self.now >= until:
+                    length = min(SPELL_MAX, 2 * length) or SPELL
+                upstream.spells[each] = length, max(until, self.now + length)
 
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -35,7 +35,7 @@
     balancer = driver.balancer
     home = [u for u in balancer.fleet.values() if u.zone == 0]
     expected = [balancer._expected(u) for u in home]
-    return balancer._odds(expected, home, sum(expected) / len(expected))
+    return balancer._odds(SAFE, expected, home, sum(expected) / len(expected))
 
 
 def test_first_pick_stays_in_the_own_zone_and_removes_none() -> None:
@@ -530,7 +530,7 @@
         driver.serve(latency=60 * MS)
     balancer = driver.balancer
     monkeypatch.setattr(balancer, "_expected", lambda u: float(50 * MS if u.name in ("h0", "a0") else others))
-    monkeypatch.setattr(balancer, "_odds", lambda expected, upstreams, mean: [1.0] * len(upstreams))
+    monkeypatch.setattr(balancer, "_odds", lambda klass, expected, upstreams, mean: [1.0] * len(upstreams))
     went = {sends(driver.ask()[1])[0] for _ in range(40)}
     assert went == {"a0"} if away else "a0" not in went
 
@@ -565,7 +565,9 @@
 
     for _ in range(1500):
         driver.finish(answer)
-        spells += sum(u.until > driver.now for u in driver.balancer.fleet.values())
+        spells += sum(
+            until > driver.now for u in driver.balancer.fleet.values() for _, until in u.spells.values()
+        )
     assert spells < 0.3 * 1500  # of seven upstreams; over two are out where chance counts as failure
     seen = Counter(
         upstream
@@ -600,7 +602,7 @@
         went = driver.finish(lambda u: (Outcome.FULL, 1 * MS) if u == "h0" else (Outcome.OK, 5 * MS))
         assert went[-1] != "h0"
         driver.balancer.budget = 0.0
-        driver.balancer.fleet["h0"].until = driver.balancer.fleet["h0"].spell = 0
+        driver.balancer.fleet["h0"].spells.clear()
 
 
 def test_the_calm_pace_does_not_sink_below_true_answers() -> None:
@@ -630,3 +632,17 @@
     _, actions = driver.ask()
     (wait,) = [a.after for a in actions if isinstance(a, SetTimer)]
     assert wait > 300 * MS  # three expected latencies
+
+
+def test_an_upstream_that_fails_one_class_still_serves_the_others() -> None:
+    # guards against losing a fast upstream's room for every class because one class fails there
+    driver = Driver()
+    went: Counter[tuple[int, str]] = Counter()
+    for n in range(600):
+        klass = SAFE if n % 2 else KEYED_ALL
+        for upstream in driver.finish(
+            lambda u, k=klass: (Outcome.ERROR if u == "h0" and k == SAFE else Outcome.OK, 5 * MS),  # type: ignore[misc]
+            klass,
+        ):
+            went[klass, upstream] += 1
+    assert went[SAFE, "h0"] < 30 and went[KEYED_ALL, "h0"] > 50
