All connections that wait are accepted in one turn of the event loop

A look at accept(): one connection for each turn of the loop, which lasts tens of milliseconds then. Ruled out: the budget (never full).

--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -31,6 +31,7 @@
 # says nothing must be after 3
 WITHIN = 2_250_000
 SWEEP = 0.1  # seconds between looks for connections whose time is over
+AT_ONCE = 64  # connections taken in one turn of the event loop
 ROOM_WAIT = 0.01  # seconds until it is looked again whether there is room for a connection
 LAST_WORD = 500_000  # microseconds in which a client that was turned away may read why
 LAST_BYTES = 256 * 1024  # and how much of what it still sends is read away meanwhile
@@ -202,16 +203,22 @@
         while True:
             # room is made only once somebody waits for it
             socket.wait_read(self.listener.fileno())
-            while not self.budget.take_client():
-                gevent.sleep(0 if self._make_room() else ROOM_WAIT)
-            try:
-                self._take_one()
-            except OSError as fault:
-                # guards against dying of what passes: no descriptor left, or a client that left the backlog
-                if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
-                    raise
-                log.error("accept_failed", fault=str(fault))
-                gevent.sleep(ROOM_WAIT)
+            # guards against one connection a turn of the event loop, which is long when there is much to do:
+            # those that wait longest give up and come again
+            for _ in range(AT_ONCE):
+                if not readable(self.listener):
+                    break
+                while not self.budget.take_client():
+                    gevent.sleep(0 if self._make_room() else ROOM_WAIT)
+                try:
+                    self._take_one()
+                except OSError as fault:
+                    # guards against dying of what passes: no descriptor left, or a client that left the
+                    # backlog
+                    if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
+                        raise
+                    log.error("accept_failed", fault=str(fault))
+                    gevent.sleep(ROOM_WAIT)
 
     def _take_one(self) -> None:
         """Accept one connection, for which there is room."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -196,6 +196,18 @@
     assert asking.recv(65536).startswith(b"HTTP/1.1 200")
 
 
+def test_all_that_wait_are_taken_in_one_turn(clients: Clients) -> None:
+    # guards against connections that wait in the backlog for a turn of a busy event loop each
+    gevent.sleep(0.01)
+    assert clients.listener is not None
+    waiting = [socket.create_connection(clients.listener.getsockname()) for _ in range(40)]
+    gevent.sleep(0.001)
+    taken = len(clients.open)
+    for wire in waiting:
+        wire.close()
+    assert taken == 40
+
+
 def test_ids_are_forgotten_once_no_copy_can_be_on_its_way(
     clients: Clients, monkeypatch: pytest.MonkeyPatch
 ) -> None:
