--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -113,7 +113,7 @@
 BROKEN: dict[str, bytes | None] = {
     "cut short": None,
     "malformed": b"\x00\x01\x02\r\n\r\n",
-    "too large": answer(b"x" * 70_000),
+    "too large": answer(b"x" * 7_000_000),
     "an error": answer(b"no", 500),
 }
 
@@ -129,6 +129,14 @@
         assert sidecar.ask("look").status == 200
 
 
+def test_a_large_answer_is_served(tmp_path: Path) -> None:
+    # guards against good answers taken for spoilt, and asked for from one upstream after the other
+    body = bytes(range(256)) * 1400
+    server = Upstream("a", lambda request, wire: answer(body))
+    with World(tmp_path, server) as sidecar:
+        assert sidecar.ask("pay").body == body and len(server.seen) == 1
+
+
 def test_half_an_answer_is_never_passed_on(tmp_path: Path) -> None:
     def half(request: Message, wire: Wire) -> None:
         wire.sock.sendall(answer(b"x" * 1000)[:500])
