--- a/linetrack/net/connection.py
+++ b/linetrack/net/connection.py
@@ -64,17 +64,20 @@
         return answer
 
 
-def readable(sock: socket.socket) -> bool:
-    """Whether a read would not wait: bytes or the end have come, or the socket is already closed here."""
+def _shows(sock: socket.socket, events: int) -> bool:
+    """Whether one of these has come, without waiting; a socket already closed here shows anything."""
     if sock.fileno() < 0:
         return True
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+    poll.register(sock.fileno(), events | select.POLLHUP | select.POLLERR)
     return bool(poll.poll(0))
 
 
+def readable(sock: socket.socket) -> bool:
+    """Whether a read would not wait: bytes or the end have come, or the socket is already closed here."""
+    return _shows(sock, select.POLLIN)
+
+
 def ended(sock: socket.socket) -> bool:
     """Whether the other side has closed its end, whatever it may have sent before."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP | select.POLLHUP | select.POLLERR)
-    return bool(poll.poll(0))
+    return _shows(sock, select.POLLRDHUP)
