--- a/linetrack/interface.py
+++ b/linetrack/interface.py
@@ -122,6 +122,9 @@
     tenant_rates: tuple[float, ...] = ()
     over_share_worth: float = 1.0
     warm_keys: bool = False
+    live_sizes: bool = False  # sizes are listed over 1 + requests held a core, as of some time ago
+    streams: int = 1  # attempts that one connection carries at once
+    keep_alive: int = 0  # for how long a connection may rest; 0 where it is not told
 
 
 @dataclass(slots=True, frozen=True)
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -48,6 +48,7 @@
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
 BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
 FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
+LIST_NEWS = 3 * SECOND  # a load told by the list, to all instances alike, is smoothed over this time
 REPORT_WEIGHT = 0.2  # a request told of in a report, beside an own one: late and noisy, so worth less
 FORGET_SPEED = 12 * SECOND  # what rests on own answers fades to what is known of its pool over this time
 MEMORY = 10.0  # answers that a smoothed figure rests on at most, so that each newer one still tells
@@ -208,6 +209,7 @@
         self.pooled: dict[int, float] = {}
         self.expecting: dict[Upstream, float] = {}  # as of what the event taught, before its sends
         self.sizes = [Evidence() for _ in settings.classes]
+        self.nominal: dict[int, float] = {}  # by kind, the most that a size that moves with load was
         self.rates: dict[int, Evidence] = {}  # requests a microsecond that warm ones of a kind serve
         self.work = Evidence()  # an uncrowded answer's time, the mean over all classes
         self.mean_worth = 0.0
@@ -261,6 +263,8 @@
             self.cold_until = max(self.cold_until, upstream.listed_start + self.s.warm_up)
             # a size that is no positive number tells nothing
             upstream.size = entry.size if 0 < entry.size < math.inf else 1.0
+            if self.s.live_sizes:
+                self._listed(upstream)
         over = {entry.upstream for entry in news.entries if entry.health is Health.GONE}
         if news.form is not ListForm.CHANGES:
             over |= self.fleet.keys() - {entry.upstream for entry in news.entries}
@@ -268,7 +272,7 @@
             # guards against records of all that ever was; attempts still out keep theirs
             self.fleet.pop(name).gone = True
         kinds, zones = ({getattr(u, part) for u in self.fleet.values()} for part in ("kind", "zone"))
-        for known, used in ((self.kinds, kinds), (self.rates, kinds), (self.zones, zones)):
+        for known, used in ((self.kinds, kinds), (self.rates, kinds), (self.nominal, kinds), (self.zones, zones)):
             for place in known.keys() - used:
                 del known[place]
         if self.s.must_ask and not self.watching:
@@ -278,6 +282,15 @@
             wait = int(self.random.random() * spread)
             self.actions.append(SetTimer(wait, "ask") if wait else Watch(True))
 
+    def _listed(self, upstream: Upstream) -> None:
+        """Part a listed size that moves with load: the most that was seen of the kind, and requests held a core.
+
+        Guards against load taken for size, and against all instances following one late list together.
+        """
+        listed = upstream.size
+        upstream.size = self.nominal[upstream.kind] = max(listed, self.nominal.get(upstream.kind, 0.0))
+        self._load(upstream, upstream.size / listed - 1, LIST_NEWS)
+
     def _ask_later(self) -> None:
         if self.s.must_ask:
             self.actions.append(SetTimer(int(self.ask_wait * (0.5 + self.random.random())), "ask"))
@@ -288,6 +301,8 @@
         seen = {f: v for f, v in zip(self.s.report_fields, values, strict=False) if 0 <= v < math.inf}
         if Load.RATE in seen and self._warmth(upstream) >= 1:
             self.rates.setdefault(upstream.kind, Evidence()).add(self.now, seen[Load.RATE] / SECOND)
+        if self.s.live_sizes:
+            return  # the list tells of every upstream at once, an answer of one that may not be seen for long
         if Load.QUEUE in seen:
             figure = seen[Load.QUEUE]
         elif Load.INFLIGHT in seen:
@@ -299,10 +314,14 @@
             figure = 1000 * seen[Load.LATENCY_MS] / math.exp(self.calm)
         else:
             return
+        self._load(upstream, figure, FORGET_LOAD, 2 * SMOOTH)
+
+    def _load(self, upstream: Upstream, figure: float, over: int, least: float = 0.0) -> None:
+        """Take in what was told of the requests at an upstream, of which those beyond own ones count."""
         beyond = max(0.0, figure - len(upstream.out))
-        # late reports swing shares: smoothed, and own sends are counted on top as they happen
-        fresh = 1 - math.exp((upstream.load_at - self.now) / FORGET_LOAD) if upstream.load_at else 1.0
-        upstream.others += max(2 * SMOOTH, fresh) * (beyond - upstream.others)
+        # late news swings shares: smoothed, and own sends are counted on top as they happen
+        fresh = 1 - math.exp((upstream.load_at - self.now) / over) if upstream.load_at else 1.0
+        upstream.others += max(least, fresh) * (beyond - upstream.others)
         upstream.load_at = self.now
         pool = self._zone(upstream)
         pool.others += SMOOTH / 4 * (beyond - pool.others)
--- a/linetrack/settings.py
+++ b/linetrack/settings.py
@@ -22,6 +22,7 @@
     "tps": i.Load.RATE,
     "err_ps": i.Load.ERROR_RATE,
 }
+SIZES = {"off": False, "nominal": False, "rough": False, "live": True}  # whether they move with load
 FLAGS = {"true": True, "1": True, "false": False, "0": False}
 
 
@@ -148,4 +149,7 @@
         tenant_rates=tuple(node.number("quotaRps", 0.0) for node in root.parts("customers")),
         over_share_worth=root.number("overShareWorth", 1.0),
         warm_keys=root.part("extra").flag("warmKeys"),
+        live_sizes=root.one_of("weights", SIZES, "off"),
+        streams=max(1, allowed.whole("multiplex", 1)),
+        keep_alive=allowed.whole("keepaliveUs", 0),
     )
