--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -62,7 +62,7 @@
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
-BUDGET_BURST = 8.0  # and at most so many at once
+BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
@@ -197,7 +197,7 @@
         self.fleet: dict[str, Upstream] = {}
         self.requests: dict[int, Request] = {}
         self.orphans: dict[tuple[int, int], Attempt] = {}
-        self.budget = BUDGET_BURST
+        self.budget = 1.0
         # an answer's time, in logarithms: calm pace + zone's crowding + kind and upstream + class
         soonest = max(2, min(c.aim for c in settings.classes))
         self.calm, self.calm_most = math.log(FIRST_GUESS * soonest), math.log(CALM_MOST * soonest)
@@ -346,11 +346,14 @@
             if attempt.sent >= upstream.answered or self.now - attempt.sent < HEDGE_AFTER * attempt.expected:
                 break
             own -= 1
+        return own + REPORT_WEIGHT * self._told(upstream)
+
+    def _told(self, upstream: Upstream) -> float:
+        """Requests at it beyond own ones, as told while that is fresh, then as the mean of its zone."""
         if not upstream.load_at:
-            return own
+            return 0.0
         mean = self.zones[upstream.zone].others
-        fresh = math.exp((upstream.load_at - self.now) / FORGET_LOAD)
-        return own + REPORT_WEIGHT * (mean + (upstream.others - mean) * fresh)
+        return mean + (upstream.others - mean) * math.exp((upstream.load_at - self.now) / FORGET_LOAD)
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
@@ -359,30 +362,51 @@
         age = max(0, self.now - upstream.listed_start) / self.s.warm_up
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
 
-    def _pace(self, upstream: Upstream) -> float:
-        """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
+    def _kind(self, upstream: Upstream) -> float:
+        """The time for a request of its kind over the mean's; logarithm."""
         pool = self.pooled.get(upstream.kind)
         if pool is None:
             kind = self.kinds.get(upstream.kind)
             pool = self.pooled[upstream.kind] = kind.beside(self.now, 0.0) if kind else 0.0
-        return upstream.pace.beside(self.now, pool) - self.mean_pace
+        return pool
+
+    def _pace(self, upstream: Upstream) -> float:
+        """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
+        return upstream.pace.beside(self.now, self._kind(upstream)) - self.mean_pace
 
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent now."""
-        if upstream in self.expecting:
-            return self.expecting[upstream]
-        crowd = self.crowds.get(upstream.zone)
-        if crowd is None:
-            crowd = self.crowds[upstream.zone] = math.exp(self._zone(upstream).crowd.beside(self.now, 0.0))
-        upstream.alone = math.exp(self.calm + self._pace(upstream))
-        expected = upstream.alone * crowd * (1 + self._backlog(upstream)) / self._warmth(upstream)
-        # guards against a hung upstream: the oldest silence is a lower bound on its latency
-        for oldest in upstream.out.values():
-            if oldest.sent >= upstream.answered:
-                expected = max(expected, self.now - oldest.sent - 2 * oldest.expected + expected)
-                break
-        self.expecting[upstream] = expected
-        return expected
+        return self._outlook((upstream,))[0]
+
+    def _outlook(self, upstreams: Iterable[Upstream]) -> list[float]:
+        """Expected completion of a mean request sent now, at each; one loop, as it is most of a decision's work."""
+        now, expecting, crowds, exp = self.now, self.expecting, self.crowds, math.exp
+        calm, pooled, warm = self.calm - self.mean_pace, self.pooled, now >= self.cold_until
+        outlook = []
+        for upstream in upstreams:
+            expected = expecting.get(upstream)
+            if expected is None:
+                crowd = crowds.get(upstream.zone)
+                if crowd is None:
+                    crowd = crowds[upstream.zone] = exp(self._zone(upstream).crowd.beside(now, 0.0))
+                pool = pooled.get(upstream.kind)
+                pace = self._kind(upstream) if pool is None else pool
+                if own := upstream.pace.weight:
+                    own *= exp((upstream.pace.at - now) / FORGET_SPEED)
+                    pace += own / (own + TRUST) * (upstream.pace.value - pace)
+                upstream.alone = exp(calm + pace)
+                backlog = self._backlog(upstream) if upstream.out else REPORT_WEIGHT * self._told(upstream)
+                expected = upstream.alone * crowd * (1 + backlog)
+                if not warm:
+                    expected /= self._warmth(upstream)
+                # guards against a hung upstream: the oldest silence is a lower bound on its latency
+                for oldest in upstream.out.values():
+                    if oldest.sent >= upstream.answered:
+                        expected = max(expected, now - oldest.sent - 2 * oldest.expected + expected)
+                        break
+                expecting[upstream] = expected
+            outlook.append(expected)
+        return outlook
 
     def _sound(self, upstream: Upstream, klass: int) -> float:
         """Share of its answers to a class that are no errors, save for what chance brings where all have
@@ -408,8 +432,9 @@
     ) -> list[float]:
         """1 / penalty of each: its expected completion over the own zone's mean, per listed size."""
         odds = []
+        warm = self.now >= self.cold_until
         for upstream, value, sound in zip(upstreams, expected, sounds, strict=True):
-            warmth = self._warmth(upstream) if upstream.listed_start else 1.0
+            warmth = 1.0 if warm else self._warmth(upstream)
             share = upstream.size * warmth**COLD_WEIGHT
             # guards against a fast-failing upstream that looks idle: errors count as load
             odds.append(share * sound**ERROR_WEIGHT * max(0.05, value * warmth / mean) ** -SHARPNESS)
@@ -426,8 +451,13 @@
         if limits is None:
             return home, away
         own, spells = self.s.zone, False
+        free, warm = limits == (None, None), self.now >= self.cold_until
         for upstream in self.fleet.values():
-            if self._fits(request, limits, upstream) and upstream not in barred:
+            if free and warm:
+                fits = not upstream.gone
+            else:
+                fits = self._fits(request, limits, upstream)
+            if fits and upstream not in barred:
                 (home if upstream.zone == own else away).append(upstream)
                 spells = spells or bool(upstream.spells)
         if not spells:
@@ -494,12 +524,11 @@
         """Both candidates, up front; each upstream's expectation is worked out once."""
         self._weigh(request)
         home, away = self._ready(request)
-        at_home = [self._expected(u) for u in home]
-        abroad = [self._expected(u) for u in away]
+        at_home, abroad = self._outlook(home), self._outlook(away)
         known = at_home or abroad
         mean = max(1.0, sum(known) / len(known)) if known else 1.0
-        sounds = [self._sound(u, request.arrival.klass) for u in home]
-        faint = [self._sound(u, request.arrival.klass) for u in away]
+        klass = request.arrival.klass
+        sounds, faint = ([self._sound(u, klass) if u.errors else 1.0 for u in part] for part in (home, away))
         odds = self._pulled(request, home, self._odds(at_home, sounds, home, mean))
         far = self._pulled(request, away, self._odds(abroad, faint, away, mean))
         pick, other = self._draw(home, odds), self._draw(away, far)
@@ -721,7 +750,7 @@
         upstream.errors += SMOOTH * (failed - upstream.errors)
         upstream.faults += SMOOTH / 8 * (failed - upstream.faults)
         if failed:
-            shares = sorted(u.faults for u in self.fleet.values())
+            shares = sorted([u.faults for u in self.fleet.values()])
             self.usual_errors = shares[(len(shares) - 1) // 2] if shares else 0.0
         sick = 1 - self._sound(upstream, klass)
         if good:
