--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -215,6 +215,7 @@
         self.mean_worth = 0.0
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
         self.served = [1.0] * len(settings.classes)
+        self.patience = [0] * len(settings.classes)  # the longest that a first try had
         self.mean_work = self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
@@ -619,6 +620,11 @@
     def _arrive(self, arrival: Arrival) -> None:
         request = Request(arrival, self.s.classes[arrival.klass], self.now)
         self.requests[request.number] = request
+        if not arrival.repeat:
+            self.patience[arrival.klass] = max(self.patience[arrival.klass], arrival.patience)
+        elif arrival.patience < 0.95 * self.patience[arrival.klass]:
+            # guards against repeats taken for first tries: one with less time than those has used up the rest
+            request.at = self.now + min(0, arrival.patience - request.klass.deadline)
         self.budget = min(BUDGET_BURST, self.budget + BUDGET_SHARE)
         self._observe(arrival)
         worth = self._class_worth(arrival.klass) / self._scale(arrival.klass) if self.guide else 0.0
