--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -62,6 +62,7 @@
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
+COPY_PRICE = 5.0  # what a copy takes from it, given back if it serves the request: heavy ones are not run twice
 BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
@@ -156,12 +157,13 @@
 
 
 class Attempt:
-    __slots__ = ("backlog", "expected", "klass", "number", "sent", "upstream")
+    __slots__ = ("backlog", "copy", "expected", "klass", "number", "sent", "upstream")
 
     def __init__(self, request: Request, upstream: Upstream, now: int) -> None:
         self.number, self.klass = request.sends, request.arrival.klass
         self.upstream, self.sent = upstream, now
         self.backlog = self.expected = 0.0
+        self.copy = bool(request.out)
 
 
 class Request:
@@ -663,9 +665,9 @@
             request.held = False
             self._start(request)
         elif kind == "copy" and len(request.out) == 1 and not request.began:
-            self._further(request, copy=True)
+            self._further(request, copy=True, price=COPY_PRICE)
 
-    def _further(self, request: Request, copy: bool, price: int = 1) -> None:
+    def _further(self, request: Request, copy: bool, price: float = 1) -> None:
         """The second candidate, then the rotation; a copy only while the first is out."""
         target = self._next(request)
         useful = target is not None and self._useful(request, target) and self.budget >= price
@@ -711,6 +713,8 @@
         if request is None:
             return
         if event.over:
+            if attempt is not None and attempt.copy and event.outcome is Outcome.OK:
+                self.budget = min(BUDGET_BURST, self.budget + COPY_PRICE)
             self._close(request, event.outcome is Outcome.OK)
             return
         if attempt is None:
