--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -20,6 +20,7 @@
     Begun,
     Cancel,
     ClientLeft,
+    CloseIdle,
     Effect,
     Ended,
     Entry,
@@ -63,6 +64,7 @@
 HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
 COPY_PRICE = 5.0  # what a copy takes from it, given back if it serves the request: heavy ones are not run twice
+REST_SHARE = 0.7  # of the rest after which a connection was reset at once, later ones are closed before use
 BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
@@ -126,7 +128,7 @@
     __slots__ = (
         "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
         "heard_at", "kind", "listed_start", "load_at", "name", "others", "out", "own", "pace", "size",
-        "spells", "tag", "zone",
+        "spells", "tag", "used", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Entry) -> None:
@@ -151,19 +153,21 @@
             int, tuple[int, int]
         ] = {}  # by class: how long the unavailable spell is, and until when
         self.heard_at = self.load_at = 0
+        self.used = 0  # when an attempt on it last ended
         self.answered = 0  # when the latest of those sends was made that have an answer
         self.cold_sent: list[int] = []
         self.credit, self.credit_at = 0.0, entry.started
 
 
 class Attempt:
-    __slots__ = ("backlog", "copy", "expected", "klass", "number", "sent", "upstream")
+    __slots__ = ("backlog", "copy", "expected", "klass", "number", "rest", "sent", "upstream")
 
     def __init__(self, request: Request, upstream: Upstream, now: int) -> None:
         self.number, self.klass = request.sends, request.arrival.klass
         self.upstream, self.sent = upstream, now
         self.backlog = self.expected = 0.0
         self.copy = bool(request.out)
+        self.rest = now - upstream.used if upstream.used and not upstream.out else 0
 
 
 class Request:
@@ -221,6 +225,7 @@
         self.mean_work = self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
+        self.rest, self.rest_at = math.inf, 0  # the longest that a connection may have rested, and as of when
         self.heard_at = self.cold_until = 0
         self.late = Evidence()  # share of sent requests that were late
         self.usual_errors = 0.0  # share of errors among an upstream's answers: half of them have no more
@@ -737,6 +742,11 @@
             self._report(upstream, event.report)
         if outcome is Outcome.MOOT:
             return
+        upstream.used = self.now
+        if outcome is Outcome.RESET and 0 < attempt.rest and 4 * event.latency < attempt.expected:
+            self.rest, self.rest_at = REST_SHARE * attempt.rest, self.now
+            self.actions.append(CloseIdle(upstream.name))
+            return
         good = outcome is Outcome.OK
         if good:
             upstream.answered = max(upstream.answered, attempt.sent)
@@ -903,6 +913,10 @@
         if request.number not in self.requests or not self._may(request, upstream):
             return False
         attempt = Attempt(request, upstream, self.now)
+        if attempt.rest * math.exp((self.rest_at - self.now) / FORGET_SPEED) > self.rest:
+            # guards against connections dropped unseen: what is sent on one may have run, and is lost
+            self.actions.append(CloseIdle(upstream.name))
+            attempt.rest = 0
         by = self._by(request) if request.sends or self.memory else 0
         attempt.expected = expected = self._scale(attempt.klass) * self._expected(upstream)
         attempt.backlog = self._backlog(upstream)
