Instances keep to some upstreams where connections are few; tenants beyond their share yield

Now a place of each upstream for the instance pulls the odds where it has no connection yet, dials that found no place count against further dials, and a tenant's requests beyond its part are worth less.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -78,6 +78,9 @@
 KEY_PULL = 2.0  # a key raises the odds of the upstreams that it shares with all, the first of n by n ** this
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
+LINKS = 5.0  # where a connection carries many, an instance keeps to about so many upstreams of a zone at first
+LINK_PULL = 6.0  # the odds of the n-th are divided by 1 + (n / LINKS) ** this while it has no connection there
+SHARE_SPAN = 5 * SECOND  # a tenant's own rate is counted over about this time
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
@@ -127,7 +130,7 @@
 
     __slots__ = (
         "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
-        "heard_at", "kind", "listed_start", "load_at", "name", "others", "out", "own", "pace", "size",
+        "heard_at", "kind", "linked", "listed_start", "load_at", "name", "others", "out", "own", "pace", "size",
         "spells", "tag", "used", "zone",
     )  # fmt: skip
 
@@ -153,14 +156,19 @@
             int, tuple[int, int]
         ] = {}  # by class: how long the unavailable spell is, and until when
         self.heard_at = self.load_at = 0
-        self.used = 0  # when an attempt on it last ended
+        self.used = self.linked = 0  # when an attempt on it last ended; until when it has an own connection
         self.answered = 0  # when the latest of those sends was made that have an answer
         self.cold_sent: list[int] = []
         self.credit, self.credit_at = 0.0, entry.started
 
 
+    def place(self, mark: int) -> float:
+        """Its place for whatever has this mark, alike wherever it is asked: over 0, 1 at most."""
+        return (((self.tag ^ mark) * 0x9E3779B1 & 0xFFFFFFFF) + 1) / 2**32
+
+
 class Attempt:
-    __slots__ = ("backlog", "copy", "expected", "klass", "number", "rest", "sent", "upstream")
+    __slots__ = ("backlog", "copy", "dials", "expected", "klass", "number", "rest", "sent", "upstream")
 
     def __init__(self, request: Request, upstream: Upstream, now: int) -> None:
         self.number, self.klass = request.sends, request.arrival.klass
@@ -168,12 +176,13 @@
         self.backlog = self.expected = 0.0
         self.copy = bool(request.out)
         self.rest = now - upstream.used if upstream.used and not upstream.out else 0
+        self.dials = upstream.linked < now
 
 
 class Request:
     __slots__ = (
         "arrival", "at", "began", "first", "held", "klass", "net", "number", "out", "ran",
-        "room", "scale", "second", "sends", "size", "strain", "stretch", "tried", "until", "value",
+        "room", "scale", "second", "sends", "size", "strain", "stretch", "tried", "until", "value", "within",
     )  # fmt: skip
 
     def __init__(self, arrival: Arrival, klass: RequestClass, now: int) -> None:
@@ -185,7 +194,7 @@
         self.ran: list[Ran] = []  # all that may have run
         self.tried: list[Upstream] = []
         self.sends, self.net = 0, 0.0
-        self.scale = self.value = self.size = self.strain = self.room = self.stretch = 1.0
+        self.scale = self.value = self.size = self.strain = self.room = self.stretch = self.within = 1.0
         self.held = self.began = False
 
 
@@ -221,10 +230,12 @@
         self.mean_worth = 0.0
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
         self.served = [1.0] * len(settings.classes)
+        self.tenants: dict[int, tuple[float, int]] = {}  # first tries of each, fading, and as of when
         self.patience = [0] * len(settings.classes)  # the longest that a first try had
         self.mean_work = self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
+        self.refused = Evidence()  # share of dials that found no place
         self.rest, self.rest_at = math.inf, 0  # the longest that a connection may have rested, and as of when
         self.heard_at = self.cold_until = 0
         self.late = Evidence()  # share of sent requests that were late
@@ -425,11 +436,13 @@
         against losing an upstream for all classes when it fails one: a class's own share counts while fresh.
         """
         share = upstream.errors
+        # guards against tables of connections that are full at many: no place where there is none is an error
+        dials = self.refused.value if self.s.streams > 1 and upstream.linked < self.now else 0.0
         if not share:
-            return 1.0
+            return 1.0 - 0.9 * dials
         if klass in upstream.own:
             share = self._faded(*upstream.own[klass], share, FORGET_SPEED)
-        return 1 - min(0.9, max(0.0, share - math.sqrt(self.usual_errors)))
+        return (1 - min(0.9, max(0.0, share - math.sqrt(self.usual_errors)))) * (1 - 0.9 * dials)
 
     def _scale(self, klass: int) -> float:
         """Time of the class's mean request over the mean of all."""
@@ -444,6 +457,9 @@
         for upstream, value, sound in zip(upstreams, expected, sounds, strict=True):
             warmth = 1.0 if warm else self._warmth(upstream)
             share = upstream.size * warmth**COLD_WEIGHT
+            if self.s.live_sizes:
+                # guards against speed counted twice: with the load a core told apart, the size stands for its kind's
+                value /= math.exp(self._kind(upstream))
             # guards against a fast-failing upstream that looks idle: errors count as load
             odds.append(share * sound**ERROR_WEIGHT * max(0.05, value * warmth / mean) ** -SHARPNESS)
         return odds
@@ -485,19 +501,20 @@
         return upstream.spells[klass][1] <= self.now and request.klass.effect is not Effect.UNSAFE and alone
 
     def _pulled(self, request: Request, upstreams: list[Upstream], odds: list[float]) -> list[float]:
-        """Odds raised by the key, alike at every instance: what lately served a key serves it with less work.
-
-        Each upstream has a place between 0 and 1 for the key; the odds are divided by it, so the pull is
-        graded and spreads a hot key over several.
-        """
+        """Odds pulled by places between 0 and 1 that each upstream has, graded, none removed: for a key, alike at
+        every instance, as what lately served one serves it with less work; and for the instance itself."""
+        if self.s.streams > 1:
+            # guards against a connection from each instance to each upstream, which takes their places and work
+            mark, count = self.s.instance * 0x85EBCA6B, len(upstreams)
+            odds = [
+                o if u.linked >= self.now else o / (1 + (u.place(mark) * count / LINKS) ** LINK_PULL)
+                for o, u in zip(odds, upstreams, strict=True)
+            ]
         key = request.arrival.key
         if not self.s.warm_keys or not key:
             return odds
         mark = zlib.crc32(key.encode())
-        return [
-            o * ((((u.tag ^ mark) * 0x9E3779B1 & 0xFFFFFFFF) + 1) / 2**32) ** -KEY_PULL
-            for o, u in zip(odds, upstreams, strict=True)
-        ]
+        return [o * u.place(mark) ** -KEY_PULL for o, u in zip(odds, upstreams, strict=True)]
 
     def _draw(self, upstreams: list[Upstream], odds: list[float]) -> int | None:
         """One drawn at these odds; cold ones no oftener than their credit allows, else none."""
@@ -536,7 +553,7 @@
         known = at_home or abroad
         mean = max(1.0, sum(known) / len(known)) if known else 1.0
         klass = request.arrival.klass
-        sounds, faint = ([self._sound(u, klass) if u.errors else 1.0 for u in part] for part in (home, away))
+        sounds, faint = ([self._sound(u, klass) for u in part] for part in (home, away))
         odds = self._pulled(request, home, self._odds(at_home, sounds, home, mean))
         far = self._pulled(request, away, self._odds(abroad, faint, away, mean))
         pick, other = self._draw(home, odds), self._draw(away, far)
@@ -571,6 +588,7 @@
         work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
         size = request.size = work if work and self.s.worth_by_work else scales[klass]
         request.scale, request.value = scales[klass], self._class_worth(klass) * size / scales[klass]
+        request.value *= request.within
         # guards against a jam taken for slow upstreams: lateness itself makes work dearer
         request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
@@ -611,6 +629,21 @@
             0.01, self.asked[klass]
         )
 
+    def _within(self, arrival: Arrival) -> float:
+        """What a request of its tenant is worth, as a share: less the further the tenant is beyond its own share.
+
+        Guards against one tenant's burst crowding all: its first tries here against this instance's part of its
+        rate, with COLD_SPREAD deviations of chance beside it, as a part may be less than one request.
+        """
+        if arrival.tenant >= len(self.s.tenant_rates):
+            return 1.0
+        count, at = self.tenants.get(arrival.tenant, (0.0, self.now))
+        count = count * math.exp((at - self.now) / SHARE_SPAN) + (not arrival.repeat)
+        self.tenants[arrival.tenant] = count, self.now
+        part = self.s.tenant_rates[arrival.tenant] * SHARE_SPAN / SECOND / self.s.instances
+        beyond = max(0.0, 1 - (part + COLD_SPREAD * math.sqrt(part)) / max(count, 1e-9))
+        return 1 - beyond * (1 - self.s.over_share_worth)
+
     def _observe(self, arrival: Arrival) -> None:
         for n in range(len(self.asked)):
             self.asked[n] += SMOOTH / 8 * ((n == arrival.klass) - self.asked[n])
@@ -627,6 +660,7 @@
     def _arrive(self, arrival: Arrival) -> None:
         request = Request(arrival, self.s.classes[arrival.klass], self.now)
         self.requests[request.number] = request
+        request.within = self._within(arrival)
         if not arrival.repeat:
             self.patience[arrival.klass] = max(self.patience[arrival.klass], arrival.patience)
         elif arrival.patience < 0.95 * self.patience[arrival.klass]:
@@ -743,6 +777,10 @@
         if outcome is Outcome.MOOT:
             return
         upstream.used = self.now
+        broken = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        upstream.linked = 0 if broken else self.now + self.s.keep_alive
+        if attempt.dials:
+            self.refused.add(self.now, float(outcome is Outcome.CONNECT_FAILED))
         if outcome is Outcome.RESET and 0 < attempt.rest and 4 * event.latency < attempt.expected:
             self.rest, self.rest_at = REST_SHARE * attempt.rest, self.now
             self.actions.append(CloseIdle(upstream.name))
