--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -81,6 +81,7 @@
 LINKS = 5.0  # where a connection carries many, an instance keeps to about so many upstreams of a zone at first
 LINK_PULL = 6.0  # the odds of the n-th are divided by 1 + (n / LINKS) ** this while it has no connection there
 SHARE_SPAN = 5 * SECOND  # a tenant's own rate is counted over about this time
+SPILL = 0.1  # net worth gained above a crossing's price at which all cross; less, so many fewer
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
@@ -570,7 +571,9 @@
             # price
             gain = self._net(request, away[other], abroad[other], faint[other])
             usual = sum(o * net for o, net in zip(worthy, nets, strict=True)) / (sum(worthy) or 1.0)
-            if pick is None or gain - self.s.price_cross > usual:
+            # guards against a zone's instances leaving and coming back together: the chance grows with the gain
+            lot = SPILL * self.random.random()
+            if pick is None or gain - self.s.price_cross - usual > lot:
                 request.first, request.net = away[other], gain
         cross = 1 + self.s.price_cross * CROSS_AVERSION
         rest, share = home + away, odds + [o / cross for o in far]
