--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -236,6 +236,8 @@
         self.mean_work = self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
         self.watching = False
+        self.busy = (0.0, 0.0)  # cores at work and requests held a core, where the one is reported beside the other
+        self.working = 1.0  # so much of a request's time alone is a core's work; the rest is waiting on others
         self.refused = Evidence()  # share of dials that found no place
         self.rest, self.rest_at = math.inf, 0  # the longest that a connection may have rested, and as of when
         self.heard_at = self.cold_until = 0
@@ -322,6 +324,11 @@
         if Load.RATE in seen and self._warmth(upstream) >= 1:
             self.rates.setdefault(upstream.kind, Evidence()).add(self.now, seen[Load.RATE] / SECOND)
         if self.s.live_sizes:
+            if seen.get(Load.UTIL, 1.0) < BUSIEST and upstream.load_at:
+                # by Little's law, while cores are not short
+                here = seen[Load.UTIL], upstream.others
+                self.busy = tuple(b + SMOOTH / 4 * (h - b) for h, b in zip(here, self.busy, strict=True))
+                self.working = min(1.0, self.busy[0] / max(1e-9, self.busy[1]))
             return  # the list tells of every upstream at once, an answer of one that may not be seen for long
         if Load.QUEUE in seen:
             figure = seen[Load.QUEUE]
@@ -613,6 +620,10 @@
         completion x (crowded - 1) in all; the chance's slope turns that delay into worth.
         """
         warmth = self._warmth(upstream) if upstream.listed_start else 1.0
+        if self.s.live_sizes:
+            # guards against an overrun that own answers show too late: what is listed counts in full here
+            full = upstream.alone * self.working * (1 + self._told(upstream)) / warmth
+            expected = max(expected, full)
         if warmth < 1:
             # guards against started upstreams idling in a jam: its crowding is that of the warm ones
             expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
