--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -82,6 +82,7 @@
 LINK_PULL = 6.0  # the odds of the n-th are divided by 1 + (n / LINKS) ** this while it has no connection there
 SHARE_SPAN = 5 * SECOND  # a tenant's own rate is counted over about this time
 SPILL = 0.1  # net worth gained above a crossing's price at which all cross; less, so many fewer
+LISTED_MOST = 2.0  # what is listed may at most make a send look so many times as crowded as own answers do
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
@@ -623,7 +624,7 @@
         if self.s.live_sizes:
             # guards against an overrun that own answers show too late: what is listed counts in full here
             full = upstream.alone * self.working * (1 + self._told(upstream)) / warmth
-            expected = max(expected, full)
+            expected = max(expected, min(full, LISTED_MOST * expected))
         if warmth < 1:
             # guards against started upstreams idling in a jam: its crowding is that of the warm ones
             expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
