--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -183,7 +183,7 @@
 
 class Request:
     __slots__ = (
-        "arrival", "at", "began", "first", "held", "klass", "net", "number", "out", "ran",
+        "arrival", "at", "began", "first", "held", "klass", "lot", "net", "number", "out", "ran",
         "room", "scale", "second", "sends", "size", "strain", "stretch", "tried", "until", "value", "within",
     )  # fmt: skip
 
@@ -196,7 +196,7 @@
         self.ran: list[Ran] = []  # all that may have run
         self.tried: list[Upstream] = []
         self.sends, self.net = 0, 0.0
-        self.scale = self.value = self.size = self.strain = self.room = self.stretch = self.within = 1.0
+        self.scale = self.value = self.size = self.strain = self.room = self.stretch = self.within = self.lot = 1.0
         self.held = self.began = False
 
 
@@ -600,6 +600,7 @@
         size = request.size = work if work and self.s.worth_by_work else scales[klass]
         request.scale, request.value = scales[klass], self._class_worth(klass) * size / scales[klass]
         request.value *= request.within
+        request.lot = 0.5 + self.random.random()
         # guards against a jam taken for slow upstreams: lateness itself makes work dearer
         request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
@@ -630,7 +631,8 @@
             expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
         crowded = expected * warmth / upstream.alone
         late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
-        cost = request.strain * CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
+        # guards against all instances turning all away, and then nothing, on one piece of late news: graded by lot
+        cost = request.lot * request.strain * CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
         return self._chance(request, expected, sound) * request.value - cost
 
     def _class_worth(self, klass: int) -> float:
