--- /dev/null
+++ b/linetrack/decide/handover.py
@@ -0,0 +1,72 @@
+"""Other settings in a running instance: who decides what is still open, and who all that comes.
+
+Owns the order of successors.  Must never decide itself: each event goes to the one policy instance that
+holds its request, and all else to the newest.  What is open under old settings ends under them, within its
+own deadline.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from linetrack import interface as i
+from linetrack.rules import Balancer
+
+
+class Policy(Protocol):
+    """What decides: events in, actions out."""
+
+    def handle(self, now: int, event: Any, /) -> list[i.Action]: ...
+
+
+class Handover:
+    """In the policy's place for its host; one instance but for moments after a switch."""
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        self.before: list[Balancer] = []  # older ones with something open, each gone with its last attempt
+
+    @property
+    def can(self) -> bool:
+        """Whether the policy can be given other settings while it runs."""
+        return isinstance(self.policy, Balancer)
+
+    def switch(self, settings: i.Settings) -> int:
+        """Other settings for all that comes from here on; how many requests are still open under older ones.
+
+        Raises TypeError where the policy is not ours and takes its settings at its start only.
+        """
+        if not isinstance(self.policy, Balancer):
+            raise TypeError("this policy takes its settings at its start only")
+        old, self.policy = self.policy, self.policy.succeed(settings)
+        self.before.append(old)
+        self._let_go()
+        return sum(len(policy.requests) for policy in self.before)
+
+    def handle(self, now: int, event: i.Event) -> list[i.Action]:
+        if not self.before:
+            return self.policy.handle(now, event)
+        number = _request(event)
+        holder = next((policy for policy in self.before if _holds(policy, number)), self.policy)
+        actions = holder.handle(now, event)
+        self._let_go()
+        return actions
+
+    def _let_go(self) -> None:
+        self.before = [policy for policy in self.before if policy.requests or policy.orphans]
+
+
+def _holds(policy: Balancer, number: int | None) -> bool:
+    return number in policy.requests or any(number == request for request, _ in policy.orphans)
+
+
+def _request(event: i.Event) -> int | None:
+    """The request that an event is about; a timer names it in its token."""
+    match event:
+        case i.Ended() | i.Begun() | i.ClientLeft():
+            return event.request
+        case i.TimerDue(token):
+            number = token.partition(":")[2]
+            return int(number) if number.isdigit() else None
+        case _:
+            return None
--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -220,8 +220,7 @@
     ) -> None:
         self.owner, self.budget, self.serving = owner, budget, serving
         self.whole_seconds = whole_seconds
-        self.classes = {name: n for n, name in enumerate(classes)}
-        self.deadlines = deadlines
+        self.set(classes, deadlines)
         self.places = Places(budget.callers)
         self.open: dict[Seat, Client] = {}
         budget.make_way = self._make_room
@@ -231,6 +230,11 @@
         self.closing = False
         self.listener: socket.socket | None = None
 
+    def set(self, classes: tuple[str, ...], deadlines: tuple[int, ...]) -> None:
+        """The classes of what is read from here on, and their deadlines in microseconds."""
+        self.classes = {name: n for n, name in enumerate(classes)}
+        self.deadlines = deadlines
+
     def listen(self, address: tuple[str, int]) -> None:
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -9,7 +9,7 @@
 import json
 import resource
 from collections.abc import Mapping
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, replace
 from typing import Any
 
 from linetrack.interface import Settings
@@ -18,6 +18,7 @@
 from linetrack.settings import Node, SettingsError, read_settings
 
 EMPTY_LIST = MemberList(0, True, ())
+STREAMS = 1  # requests that a connection of HTTP/1.1 carries at once, whatever is told
 SOCKETS, MEMORY_MB = 1024, 192  # where no limit is told: what binds on the days that count
 
 
@@ -35,6 +36,7 @@
     memory_mb: int
     known: MemberList
     settings: Settings
+    told_streams: int  # requests a connection carries at once, as told; HTTP/1.1 carries STREAMS
     class_names: tuple[str, ...]
     zone_names: tuple[str, ...]
     kind_names: tuple[str, ...]
@@ -46,16 +48,25 @@
 
     def restart_for(self, new: Config) -> list[str]:
         """The keys in which another configuration differs that only a restart can bring into force."""
-        keys = {
-            "sockets": "limits.sockets",
-            "memory_mb": "limits.memory_mb",
-            "name": "name",
-            "listen": "listen",
-        }
-        at_start = ("seed", "known", "discovery")
-        names = [f.name for f in fields(self) if f.name not in at_start]
-        differ = [keys.get(name, "settings") for name in names if getattr(self, name) != getattr(new, name)]
-        return sorted(set(differ))
+        return sorted(key for name, key in AT_START.items() if getattr(self, name) != getattr(new, name))
+
+    def after(self, old: Config) -> Config:
+        """This configuration as a running program takes it: what only a restart can bring stays as it was,
+        and a place or kind that had a number keeps it.
+
+        Guards against two names that had one number after one another: what may have run in a place would be
+        repeated in another.
+        """
+        zones, kinds = _longer(old.zone_names, self.zone_names), _longer(old.kind_names, self.kind_names)
+        own = self.settings.zone
+        zone = zones.index(self.zone_names[own]) if own < len(self.zone_names) else own
+        kept = {name: getattr(old, name) for name in AT_START}
+        settings = replace(self.settings, zone=zone)
+        return replace(self, settings=settings, zone_names=zones, kind_names=kinds, **kept)
+
+    def same_settings(self, other: Config) -> bool:
+        """Whether nothing differs that a running program takes."""
+        return replace(self, discovery=other.discovery, seed=other.seed, known=other.known) == other
 
     @property
     def deadlines(self) -> tuple[int, ...]:
@@ -67,6 +78,21 @@
         return max(self.deadlines)
 
 
+#: What only a start can bring into force, and the keys that say it.
+AT_START = {
+    "name": "name",
+    "listen": "listen",
+    "sockets": "limits.sockets",
+    "memory_mb": "limits.memory_mb",
+    "storms": "storms.damp",
+    "whole_seconds": "storms.wholeSeconds",
+}
+
+
+def _longer(old: tuple[str, ...], new: tuple[str, ...]) -> tuple[str, ...]:
+    return old + tuple(name for name in new if name not in old)
+
+
 def _address(value: str, key: str) -> tuple[str, int]:
     try:
         return messages.address(value)
@@ -114,6 +140,8 @@
         raise ConfigError("settings is missing")
     node = root.part("settings")
     settings = read_settings(node.values, "settings")
+    told_streams = settings.streams
+    settings = replace(settings, streams=STREAMS)
     allowed, classes = node.part("allowed"), node.parts("classes")
     limits = root.part("limits")
     # the process's own limit binds too, whatever was told
@@ -130,12 +158,13 @@
         memory_mb=int(limits.number("memory_mb", MEMORY_MB)),
         known=_known(root.values.get("known")),
         settings=settings,
+        told_streams=told_streams,
         class_names=tuple(item.text("name", str(n)) for n, item in enumerate(classes)),
         zone_names=tuple(node.names("azs")),
         kind_names=tuple(node.names("skus")),
         report_fields=tuple(stats.names("fields")) if settings.report_fields else (),
-        dial_timeout=allowed.whole("dialTimeoutUs", 250_000),
-        keep_alive=allowed.whole("keepaliveUs", 30_000_000),
+        dial_timeout=allowed.above("dialTimeoutUs", 1, 250_000),
+        keep_alive=allowed.above("keepaliveUs", 0, 30_000_000),
         storms=root.part("storms").flag("damp"),
         whole_seconds=root.part("storms").flag("wholeSeconds"),
     )
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -41,13 +41,17 @@
         must_ask: bool,
     ) -> None:
         self.address, self.upstreams, self.tell = address, upstreams, tell
-        self.zones = {name: n for n, name in enumerate(zones)}
-        self.kinds = {name: n for n, name in enumerate(kinds)}
-        self.must_ask = must_ask
+        self.set(zones, kinds, must_ask)
         self.version: int | None = None
         self.asked = Event()
         self.following: gevent.Greenlet | None = None
 
+    def set(self, zones: tuple[str, ...], kinds: tuple[str, ...], must_ask: bool) -> None:
+        """The numbers that places and kinds have from here on, and whether the module asks for the list."""
+        self.zones = {name: n for n, name in enumerate(zones)}
+        self.kinds = {name: n for n, name in enumerate(kinds)}
+        self.must_ask = must_ask
+
     def remember(self, known: MemberList) -> None:
         """The list as this sidecar last had it, before anything else is told."""
         self.version = known.version if known.members else None
--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -110,7 +110,14 @@
     report: tuple[float, ...] = ()
 
 
-Item = Taken | Left | Done | i.FleetNews
+@dataclass(slots=True, frozen=True)
+class Turn:
+    """Something to be done between two events: what was put before is told first, what is put later after."""
+
+    work: Callable[[], None]
+
+
+Item = Taken | Left | Done | Turn | i.FleetNews
 
 
 class Owner:
@@ -120,9 +127,10 @@
         start: Callable[[Attempt], None],
         give_up: Callable[[Attempt], None],
         watch: Callable[[], None],
+        close_idle: Callable[[str], None] = lambda upstream: None,
     ) -> None:
         self.policy = policy
-        self.start, self.give_up, self.watch = start, give_up, watch
+        self.start, self.give_up, self.watch, self.close_idle = start, give_up, watch, close_idle
         self.queue: deque[tuple[int, Item]] = deque()
         self.rung = Event()
         self.alarm, self.alarm_due = gevent.get_hub().loop.timer(0), NEVER
@@ -201,6 +209,8 @@
                 self._done(seen, what)
             case i.FleetNews():
                 self._handle(seen, what)
+            case Turn(work):
+                work()
 
     def _expire(self, attempt: Attempt, now: int) -> None:
         """An attempt's time is over: its connection is closed at once, and the module is told."""
@@ -280,6 +290,8 @@
                 self._cancel(number, nth)
             case i.Watch(True):
                 self.watch()
+            case i.CloseIdle(upstream):
+                self.close_idle(upstream)
             case _:
                 raise NotImplementedError(f"the module never emitted {action!r} before")
 
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -18,12 +18,13 @@
 from gevent.event import Event
 from structlog.typing import EventDict
 
+from linetrack.decide.handover import Handover
 from linetrack.net.budget import Budget
 from linetrack.net.clients import Clients
 from linetrack.net.clock import clock
-from linetrack.net.config import Config, ConfigError, read_config
+from linetrack.net.config import STREAMS, Config, ConfigError, read_config
 from linetrack.net.discovery import Discovery
-from linetrack.net.owner import MakePolicy, Owner
+from linetrack.net.owner import MakePolicy, Owner, Turn
 from linetrack.net.upstreams import Upstreams
 from linetrack.rules import Balancer
 
@@ -69,12 +70,15 @@
         )
         if config.storms:
             policy = _damping(policy)
+        self.handover = Handover(policy(config.settings, config.seed))
         self.owner = Owner(
-            policy(config.settings, config.seed),
+            self.handover,
             self.upstreams.start,
             self.upstreams.give_up,
             self.discovery.watch,
+            self.upstreams.close_idle,
         )
+        self.longest = config.longest
         self.clients = Clients(
             self.owner, budget, config.class_names, config.deadlines, self.serving, config.whole_seconds
         )
@@ -95,6 +99,7 @@
         gevent.signal_handler(signal.SIGTERM, self.leave.set)
         gevent.signal_handler(signal.SIGINT, self.leave.set)
         gevent.signal_handler(signal.SIGHUP, self.again.set)
+        _say_streams(self.config)
         self.discovery.remember(self.config.known)
         self.clients.listen(self.config.listen)
         must_live("owner", self.owner.run)
@@ -116,7 +121,7 @@
         self.clients.stop_accepting()
         self._enter(Phase.EMPTYING)
         self.clients.close_between_requests()
-        limit = began + self.config.longest + int((STILL_COMING + LAST_WORD) * 1_000_000)
+        limit = began + self.longest + int((STILL_COMING + LAST_WORD) * 1_000_000)
         while self.clients.open and clock() < limit:
             gevent.sleep(LOOK)
         self._enter(Phase.ENDED)
@@ -132,8 +137,33 @@
             except ConfigError as fault:
                 log.error("reload_faulty", fault=str(fault))
                 continue
-            log.info("reloaded", discovery=new.discovery, needs_restart=self.config.restart_for(new))
+            needs_restart, new = self.config.restart_for(new), new.after(self.config)
+            same = new.same_settings(self.config)
+            if not same and not self.handover.can:
+                needs_restart, same = [*needs_restart, "settings"], True
+            log.info("reloaded", discovery=new.discovery, switched=not same, needs_restart=needs_restart)
             self.discovery.move(new.discovery)
+            if not same:
+                _say_streams(new)
+                self._switch(new)
+
+    def _switch(self, new: Config) -> None:
+        """Other settings, whole and at one moment: nothing waits in here, and the owner takes what was read
+        before it under the old ones, what is read after it under the new."""
+        self.upstreams.set(new.dial_timeout, new.keep_alive, new.report_fields)
+        self.discovery.set(new.zone_names, new.kind_names, new.settings.must_ask)
+        self.clients.set(new.class_names, new.deadlines)
+        self.owner.put(Turn(partial(self._succeed, new)), clock())
+        self.config, self.longest = new, max(self.longest, new.longest)
+
+    def _succeed(self, new: Config) -> None:
+        still = self.handover.switch(new.settings)
+        log.info("settings_switched", still_open=still, classes=new.class_names, **self.owner.counts)
+
+
+def _say_streams(config: Config) -> None:
+    if config.told_streams > STREAMS:
+        log.warning("multiplex_unused", told=config.told_streams, used=STREAMS)
 
 
 def _damping(policy: MakePolicy) -> MakePolicy:
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -52,14 +52,19 @@
         fields: tuple[str, ...],
         tell: Callable[[Done, int], None],
     ) -> None:
-        self.budget, self.fields, self.tell = budget, fields, tell
-        self.dial_timeout, self.keep = dial_timeout, int(keep_alive * KEEP_SHARE)
+        self.budget, self.tell = budget, tell
+        self.set(dial_timeout, keep_alive, fields)
         self.known: dict[str, Known] = {}
         # all that rest, the longest first, and the pool that each is in
         self.resting: OrderedDict[Connection, Known] = OrderedDict()
         self.rests, self.dials = Rests((None,) * DEPTHS), Rate()
         budget.shrink = self.close_oldest
 
+    def set(self, dial_timeout: int, keep_alive: int, fields: tuple[str, ...]) -> None:
+        """These times, in microseconds, and names of a report's values from here on; what rests is not closed
+        before its time, but not used past the new one."""
+        self.dial_timeout, self.keep, self.fields = dial_timeout, int(keep_alive * KEEP_SHARE), fields
+
     # --- The directory -----------------------------------------------------------------------------
     def learn(self, members: tuple[Member, ...], full: bool) -> None:
         for member in members:
@@ -111,6 +116,11 @@
             self._leave(connection, known, False)
             self._close(connection)
 
+    def close_idle(self, name: str) -> None:
+        """Close all that rest to this upstream."""
+        if known := self.known.get(name):
+            self._close_idle(known)
+
     def close_oldest(self) -> bool:
         """Close the connection that stood idle longest; False where none is idle."""
         if not self.resting:
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -9,51 +9,24 @@
 import math
 import zlib
 from bisect import bisect
+from collections import defaultdict
 from collections.abc import Iterable
 from itertools import accumulate
 from random import Random
 
-from linetrack.interface import (
-    NEVER_RAN,
-    Action,
-    Arrival,
-    Begun,
-    Cancel,
-    ClientLeft,
-    CloseIdle,
-    Effect,
-    Ended,
-    Entry,
-    Event,
-    Fail,
-    FleetNews,
-    Group,
-    Guide,
-    Health,
-    ListForm,
-    Load,
-    Memory,
-    Outcome,
-    Ran,
-    Refuse,
-    RequestClass,
-    Send,
-    SetTimer,
-    Settings,
-    TimerDue,
-    Watch,
-)
+from linetrack import interface as i
 
 # --- Tunables: ratios, and times with no counterpart in the settings -----------------------------
 SECOND = 1_000_000
+FOR_EVER = 1 << 62
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
-BUSIEST = 0.85  # a reported utilisation counts as u / (1 - u) requests; above this it is mostly noise
+BUSIEST = 0.85  # a reported utilisation above this is mostly noise
 FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
 LIST_NEWS = 3 * SECOND  # a load told by the list, to all instances alike, is smoothed over this time
-REPORT_WEIGHT = 0.2  # a request told of in a report, beside an own one: late and noisy, so worth less
 FORGET_SPEED = 12 * SECOND  # what rests on own answers fades to what is known of its pool over this time
 MEMORY = 10.0  # answers that a smoothed figure rests on at most, so that each newer one still tells
 TRUST = 2.0  # answers at which an own figure counts as much as its pool's
+REPORT_WEIGHT = 0.2  # a request told of in a report, beside an own one: late and noisy, so worth less
 CALM_STEP = 0.03  # step of the calm pace, per answer and in logarithms; it falls CALM_FALL times as fast
 CALM_FALL = 3.0  # as it rises, so it stays near the pace of uncrowded upstreams
 CALM_MOST = 0.5  # and at most this share of the shortest aim: fleets are built to answer in time
@@ -62,8 +35,11 @@
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
+VIEW = SECOND // 2  # what is expected of an idle upstream stands so long where nothing new was told of it
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
-COPY_PRICE = 5.0  # what a copy takes from it, given back if it serves the request: heavy ones are not run twice
+COPY_PRICE = (
+    5.0  # what a copy takes from it, given back if it serves the request: heavy ones are not run twice
+)
 REST_SHARE = 0.7  # of the rest after which a connection was reset at once, later ones are closed before use
 BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
@@ -78,8 +54,12 @@
 KEY_PULL = 2.0  # a key raises the odds of the upstreams that it shares with all, the first of n by n ** this
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
-LINKS = 5.0  # where a connection carries many, an instance keeps to about so many upstreams of a zone at first
-LINK_PULL = 6.0  # the odds of the n-th are divided by 1 + (n / LINKS) ** this while it has no connection there
+LINKS = (
+    5.0  # where a connection carries many, an instance keeps to about so many upstreams of a zone at first
+)
+LINK_PULL = (
+    6.0  # the odds of the n-th are divided by 1 + (n / LINKS) ** this while it has no connection there
+)
 SHARE_SPAN = 5 * SECOND  # a tenant's own rate is counted over about this time
 SPILL = 0.1  # net worth gained above a crossing's price at which all cross; less, so many fewer
 LISTED_MOST = 2.0  # what is listed may at most make a send look so many times as crowded as own answers do
@@ -118,52 +98,40 @@
         return pool + held / (held + TRUST) * (self.value - pool)
 
 
-class Pool:
-    """What is known of a zone: how crowded it is, and the mean of what its reports tell."""
-
-    __slots__ = ("crowd", "others")
-
-    def __init__(self) -> None:
-        self.crowd, self.others = Evidence(), 0.0
-
-
 class Upstream:
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
         "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
-        "heard_at", "kind", "linked", "listed_start", "load_at", "name", "others", "out", "own", "pace", "size",
-        "spells", "tag", "used", "zone",
+        "heard_at", "kind", "linked", "listed_start", "load_at", "loaded", "name", "others", "out", "own",
+        "pace", "size", "spells", "tag", "used", "usual", "view_until", "zone",
     )  # fmt: skip
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: i.Entry) -> None:
         self.name = entry.upstream
         self.tag = zlib.crc32(entry.upstream.encode())
         self.out: dict[tuple[int, int], Attempt] = {}
         self.fresh(entry)
 
-    def fresh(self, entry: Entry) -> None:
+    def fresh(self, entry: i.Entry) -> None:
         """A new process: nothing learnt before holds."""
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
-        self.gone = entry.health is not Health.UP
+        self.gone = entry.health is not i.Health.UP
         self.kind, self.size = entry.kind, 1.0
         self.others = self.errors = 0.0
         self.faults = 0.0  # the share of errors again, over some forty answers
-        self.alone = 1.0  # its time for a request while uncrowded, as of its last expectation
+        # its time for a request over the calm pace: uncrowded, with what it holds, its kind's; as of a VIEW
+        self.alone, self.loaded, self.usual, self.view_until = 1.0, 1.0, 1.0, 0
         self.pace = Evidence()  # logarithm of its time for a request over that of its kind
-        self.own: dict[
-            int, tuple[float, int]
-        ] = {}  # the share of errors of one class, and when it last answered
-        self.spells: dict[
-            int, tuple[int, int]
-        ] = {}  # by class: how long the unavailable spell is, and until when
+        # by class: share of errors and when it answered; how long a spell is and until when
+        self.own: dict[int, tuple[float, int]] = {}
+        self.spells: dict[int, tuple[int, int]] = {}
         self.heard_at = self.load_at = 0
         self.used = self.linked = 0  # when an attempt on it last ended; until when it has an own connection
         self.answered = 0  # when the latest of those sends was made that have an answer
         self.cold_sent: list[int] = []
         self.credit, self.credit_at = 0.0, entry.started
 
-
     def place(self, mark: int) -> float:
         """Its place for whatever has this mark, alike wherever it is asked: over 0, 1 at most."""
         return (((self.tag ^ mark) * 0x9E3779B1 & 0xFFFFFFFF) + 1) / 2**32
@@ -187,16 +155,17 @@
         "room", "scale", "second", "sends", "size", "strain", "stretch", "tried", "until", "value", "within",
     )  # fmt: skip
 
-    def __init__(self, arrival: Arrival, klass: RequestClass, now: int) -> None:
+    def __init__(self, arrival: i.Arrival, klass: i.RequestClass, now: int) -> None:
         self.arrival, self.klass, self.number = arrival, klass, arrival.request
         self.at, self.until = now, now + arrival.patience
         self.first: Upstream | None = None
         self.second: Upstream | None = None
         self.out: dict[int, Attempt] = {}
-        self.ran: list[Ran] = []  # all that may have run
+        self.ran: list[i.Ran] = []  # all that may have run
         self.tried: list[Upstream] = []
         self.sends, self.net = 0, 0.0
-        self.scale = self.value = self.size = self.strain = self.room = self.stretch = self.within = self.lot = 1.0
+        self.scale = self.value = self.size = self.strain = self.room = self.stretch = 1.0
+        self.within = self.lot = 1.0
         self.held = self.began = False
 
 
@@ -204,13 +173,13 @@
     """One instance: `handle` takes one event and returns the actions it calls for, in order."""
 
     def __init__(
-        self, settings: Settings, seed: int, guide: Guide | None = None, memory: Memory | None = None
+        self, settings: i.Settings, seed: int, guide: i.Guide | None = None, memory: i.Memory | None = None
     ) -> None:
         # `guide` and `memory` are asked where an installation has them on
         self.s, self.guide, self.memory = settings, guide, memory
         self.random = Random(seed)
         self.now = 0
-        self.actions: list[Action] = []
+        self.actions: list[i.Action] = []
         self.fleet: dict[str, Upstream] = {}
         self.requests: dict[int, Request] = {}
         self.orphans: dict[tuple[int, int], Attempt] = {}
@@ -219,12 +188,13 @@
         soonest = max(2, min(c.aim for c in settings.classes))
         self.calm, self.calm_most = math.log(FIRST_GUESS * soonest), math.log(CALM_MOST * soonest)
         self.answers = 0
-        self.zones: dict[int, Pool] = {}
+        # by zone: how crowded it is, and the mean of what was told of its upstreams
+        self.zones: defaultdict[int, Evidence] = defaultdict(Evidence)
+        self.others: defaultdict[int, float] = defaultdict(float)
         self.kinds: dict[int, Evidence] = {}
         # worked out once an event, not once an upstream: by zone and by kind
         self.crowds: dict[int, float] = {}
         self.pooled: dict[int, float] = {}
-        self.expecting: dict[Upstream, float] = {}  # as of what the event taught, before its sends
         self.sizes = [Evidence() for _ in settings.classes]
         self.nominal: dict[int, float] = {}  # by kind, the most that a size that moves with load was
         self.rates: dict[int, Evidence] = {}  # requests a microsecond that warm ones of a kind serve
@@ -234,44 +204,60 @@
         self.served = [1.0] * len(settings.classes)
         self.tenants: dict[int, tuple[float, int]] = {}  # first tries of each, fading, and as of when
         self.patience = [0] * len(settings.classes)  # the longest that a first try had
-        self.mean_work = self.mean_pace = 0.0
+        self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
-        self.watching = False
-        self.busy = (0.0, 0.0)  # cores at work and requests held a core, where the one is reported beside the other
-        self.working = 1.0  # so much of a request's time alone is a core's work; the rest is waiting on others
+        self.watching = self.retired = False
+        self.busy = self.holds = 0.0  # share of cores at work and requests held a core, as told together
+        self.working = 1.0  # share of a request's time alone that is work; the rest it waits on others
         self.refused = Evidence()  # share of dials that found no place
         self.rest, self.rest_at = math.inf, 0  # the longest that a connection may have rested, and as of when
         self.heard_at = self.cold_until = 0
         self.late = Evidence()  # share of sent requests that were late
         self.usual_errors = 0.0  # share of errors among an upstream's answers: half of them have no more
 
-    def handle(self, now: int, event: Event) -> list[Action]:
+    def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now, []
         self.crowds.clear()
         self.pooled.clear()
-        self.expecting.clear()
         match event:
-            case Arrival():
+            case i.Arrival():
                 self._arrive(event)
-            case Ended():
+            case i.Ended():
                 self._ended(event)
-            case TimerDue():
+            case i.TimerDue():
                 self._timer(event.token)
-            case FleetNews():
+            case i.FleetNews():
                 self._news(event)
-            case ClientLeft():
+            case i.ClientLeft():
                 if request := self.requests.get(event.request):
                     self._close(request)
-            case Begun():
+            case i.Begun():
                 if request := self.requests.get(event.request):
                     request.began = True
             case _:
                 pass  # probes are never sent, peers never asked: nothing rests on their words
         return self.actions
 
+    def succeed(self, settings: i.Settings) -> Balancer:
+        """This instance under other settings: the heir has its fleet view, what is open ends here.
+
+        Guards against a switch that forgets drains, budgets or what is out.  What was learnt of classes,
+        loads and tenants is forgotten, and what still ends here teaches nothing any more.
+        """
+        heir = Balancer(settings, self.random.getrandbits(64), self.guide, self.memory)
+        heir.fleet, heir.budget, self.retired = self.fleet, self.budget, True
+        heir.zones, heir.kinds, heir.rates, heir.work = self.zones, self.kinds, self.rates, self.work
+        heir.calm, heir.answers, heir.mean_pace = min(self.calm, heir.calm_most), self.answers, self.mean_pace
+        heir.watching, heir.heard_at, self.cold_until = self.watching, self.heard_at, FOR_EVER
+        heir.rest, heir.rest_at, heir.refused = self.rest, self.rest_at, self.refused
+        for upstream in self.fleet.values():
+            upstream.own, upstream.spells, upstream.load_at, upstream.others = {}, {}, 0, 0.0
+            heir.cold_until = max(heir.cold_until, upstream.listed_start + settings.warm_up)
+        return heir
+
     # --- Fleet view ------------------------------------------------------------------------------
-    def _news(self, news: FleetNews) -> None:
-        if news.form is ListForm.REFUSED:
+    def _news(self, news: i.FleetNews) -> None:
+        if news.form is i.ListForm.REFUSED:
             # guards against a broken subscription: asked again with back-off, the old list stands
             self._ask_later()
             return
@@ -282,67 +268,55 @@
                 upstream = self.fleet[entry.upstream] = Upstream(entry)
             elif entry.started > upstream.listed_start:
                 upstream.fresh(entry)
-            upstream.gone = entry.health is not Health.UP
+            upstream.gone = entry.health is not i.Health.UP
             self.cold_until = max(self.cold_until, upstream.listed_start + self.s.warm_up)
             # a size that is no positive number tells nothing
             upstream.size = entry.size if 0 < entry.size < math.inf else 1.0
             if self.s.live_sizes:
                 self._listed(upstream)
-        over = {entry.upstream for entry in news.entries if entry.health is Health.GONE}
-        if news.form is not ListForm.CHANGES:
+        over = {entry.upstream for entry in news.entries if entry.health is i.Health.GONE}
+        if news.form is not i.ListForm.CHANGES:
             over |= self.fleet.keys() - {entry.upstream for entry in news.entries}
         for name in over:
             # guards against records of all that ever was; attempts still out keep theirs
             self.fleet.pop(name).gone = True
         kinds, zones = ({getattr(u, part) for u in self.fleet.values()} for part in ("kind", "zone"))
-        for known, used in ((self.kinds, kinds), (self.rates, kinds), (self.nominal, kinds), (self.zones, zones)):
-            for place in known.keys() - used:
+        for known in (self.kinds, self.rates, self.nominal, self.zones, self.others):
+            for place in known.keys() - (zones if known is self.zones or known is self.others else kinds):
                 del known[place]
         if self.s.must_ask and not self.watching:
             self.watching = True
             # guards against a stampede: instances that start together spread their calls by lot
             spread = min(self.s.ask_every // 2, (self.s.instances - 1) * ASK_PACE)
             wait = int(self.random.random() * spread)
-            self.actions.append(SetTimer(wait, "ask") if wait else Watch(True))
+            self.actions.append(i.SetTimer(wait, "ask") if wait else i.Watch(True))
 
     def _listed(self, upstream: Upstream) -> None:
-        """Part a listed size that moves with load: the most that was seen of the kind, and requests held a core.
-
-        Guards against load taken for size, and against all instances following one late list together.
-        """
+        """Part a size that moves with load, which would be counted twice: its kind's most, and the load."""
         listed = upstream.size
         upstream.size = self.nominal[upstream.kind] = max(listed, self.nominal.get(upstream.kind, 0.0))
         self._load(upstream, upstream.size / listed - 1, LIST_NEWS)
 
     def _ask_later(self) -> None:
         if self.s.must_ask:
-            self.actions.append(SetTimer(int(self.ask_wait * (0.5 + self.random.random())), "ask"))
+            self.actions.append(i.SetTimer(int(self.ask_wait * (0.5 + self.random.random())), "ask"))
             self.ask_wait = min(2 * self.ask_wait, max(ASK_AGAIN, self.s.ask_every // 2))
 
     def _report(self, upstream: Upstream, values: tuple[float, ...]) -> None:
         """Take a report in: requests at the upstream beyond those this instance sent itself."""
         seen = {f: v for f, v in zip(self.s.report_fields, values, strict=False) if 0 <= v < math.inf}
-        if Load.RATE in seen and self._warmth(upstream) >= 1:
-            self.rates.setdefault(upstream.kind, Evidence()).add(self.now, seen[Load.RATE] / SECOND)
+        if i.Load.RATE in seen and self._warmth(upstream) >= 1:
+            self.rates.setdefault(upstream.kind, Evidence()).add(self.now, seen[i.Load.RATE] / SECOND)
         if self.s.live_sizes:
-            if seen.get(Load.UTIL, 1.0) < BUSIEST and upstream.load_at:
+            if seen.get(i.Load.UTIL, 1.0) < BUSIEST and upstream.load_at:
                 # by Little's law, while cores are not short
-                here = seen[Load.UTIL], upstream.others
-                self.busy = tuple(b + SMOOTH / 4 * (h - b) for h, b in zip(here, self.busy, strict=True))
-                self.working = min(1.0, self.busy[0] / max(1e-9, self.busy[1]))
+                self.busy += SMOOTH / 4 * (seen[i.Load.UTIL] - self.busy)
+                self.holds += SMOOTH / 4 * (upstream.others - self.holds)
+                self.working = min(1.0, self.busy / max(1e-9, self.holds))
             return  # the list tells of every upstream at once, an answer of one that may not be seen for long
-        if Load.QUEUE in seen:
-            figure = seen[Load.QUEUE]
-        elif Load.INFLIGHT in seen:
-            figure = seen[Load.INFLIGHT]
-        elif Load.UTIL in seen:
-            busy = min(seen[Load.UTIL], BUSIEST)
-            figure = busy / (1 - busy)
-        elif Load.LATENCY_MS in seen:
-            figure = 1000 * seen[Load.LATENCY_MS] / math.exp(self.calm)
-        else:
-            return
-        self._load(upstream, figure, FORGET_LOAD, 2 * SMOOTH)
+        figure = seen.get(i.Load.QUEUE, seen.get(i.Load.INFLIGHT))
+        if figure is not None:
+            self._load(upstream, figure, FORGET_LOAD, 2 * SMOOTH)
 
     def _load(self, upstream: Upstream, figure: float, over: int, least: float = 0.0) -> None:
         """Take in what was told of the requests at an upstream, of which those beyond own ones count."""
@@ -350,21 +324,14 @@
         # late news swings shares: smoothed, and own sends are counted on top as they happen
         fresh = 1 - math.exp((upstream.load_at - self.now) / over) if upstream.load_at else 1.0
         upstream.others += max(least, fresh) * (beyond - upstream.others)
-        upstream.load_at = self.now
-        pool = self._zone(upstream)
-        pool.others += SMOOTH / 4 * (beyond - pool.others)
+        upstream.load_at, upstream.view_until = self.now, 0
+        self.others[upstream.zone] += SMOOTH / 4 * (beyond - self.others[upstream.zone])
 
     # --- Penalty ---------------------------------------------------------------------------------
     def _faded(self, value: float, since: int, mean: float, over: int) -> float:
         """The value while news of it is fresh, towards the mean as it ages: old news must not rule."""
         return mean + (value - mean) * math.exp((since - self.now) / over) if since else mean
 
-    def _zone(self, upstream: Upstream) -> Pool:
-        pool = self.zones.get(upstream.zone)
-        if pool is None:
-            pool = self.zones[upstream.zone] = Pool()
-        return pool
-
     def _backlog(self, upstream: Upstream) -> float:
         """Requests at the upstream: own ones still out, and what its reports told beyond them."""
         own = len(upstream.out)
@@ -380,7 +347,7 @@
         """Requests at it beyond own ones, as told while that is fresh, then as the mean of its zone."""
         if not upstream.load_at:
             return 0.0
-        mean = self.zones[upstream.zone].others
+        mean = self.others[upstream.zone]
         return mean + (upstream.others - mean) * math.exp((upstream.load_at - self.now) / FORGET_LOAD)
 
     def _warmth(self, upstream: Upstream) -> float:
@@ -390,49 +357,40 @@
         age = max(0, self.now - upstream.listed_start) / self.s.warm_up
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
 
-    def _kind(self, upstream: Upstream) -> float:
-        """The time for a request of its kind over the mean's; logarithm."""
+    def _pace(self, upstream: Upstream) -> float:
+        """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
         pool = self.pooled.get(upstream.kind)
         if pool is None:
             kind = self.kinds.get(upstream.kind)
             pool = self.pooled[upstream.kind] = kind.beside(self.now, 0.0) if kind else 0.0
-        return pool
-
-    def _pace(self, upstream: Upstream) -> float:
-        """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
-        return upstream.pace.beside(self.now, self._kind(upstream)) - self.mean_pace
+        return upstream.pace.beside(self.now, pool) - self.mean_pace
 
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent now."""
         return self._outlook((upstream,))[0]
 
     def _outlook(self, upstreams: Iterable[Upstream]) -> list[float]:
-        """Expected completion of a mean request sent now, at each; one loop, as it is most of a decision's work."""
-        now, expecting, crowds, exp = self.now, self.expecting, self.crowds, math.exp
-        calm, pooled, warm = self.calm - self.mean_pace, self.pooled, now >= self.cold_until
+        """Expected completion of a mean request sent now, at each; one loop, as it is most of the work."""
+        now, crowds, warm, calm = self.now, self.crowds, self.now >= self.cold_until, math.exp(self.calm)
         outlook = []
         for upstream in upstreams:
-            expected = expecting.get(upstream)
-            if expected is None:
-                crowd = crowds.get(upstream.zone)
-                if crowd is None:
-                    crowd = crowds[upstream.zone] = exp(self._zone(upstream).crowd.beside(now, 0.0))
-                pool = pooled.get(upstream.kind)
-                pace = self._kind(upstream) if pool is None else pool
-                if own := upstream.pace.weight:
-                    own *= exp((upstream.pace.at - now) / FORGET_SPEED)
-                    pace += own / (own + TRUST) * (upstream.pace.value - pace)
-                upstream.alone = exp(calm + pace)
-                backlog = self._backlog(upstream) if upstream.out else REPORT_WEIGHT * self._told(upstream)
-                expected = upstream.alone * crowd * (1 + backlog)
-                if not warm:
-                    expected /= self._warmth(upstream)
-                # guards against a hung upstream: the oldest silence is a lower bound on its latency
-                for oldest in upstream.out.values():
-                    if oldest.sent >= upstream.answered:
-                        expected = max(expected, now - oldest.sent - 2 * oldest.expected + expected)
-                        break
-                expecting[upstream] = expected
+            crowd = crowds.get(upstream.zone)
+            if crowd is None:
+                crowd = math.exp(self.zones[upstream.zone].beside(now, 0.0))
+                crowds[upstream.zone] = crowd
+            if upstream.out or now >= upstream.view_until:
+                upstream.alone = math.exp(self._pace(upstream))
+                upstream.usual = math.exp(self.pooled[upstream.kind])
+                upstream.loaded = upstream.alone * (1 + self._backlog(upstream))
+                upstream.view_until = now + VIEW
+            expected = calm * crowd * upstream.loaded
+            if not warm:
+                expected /= self._warmth(upstream)
+            # guards against a hung upstream: the oldest silence is a lower bound on its latency
+            for oldest in upstream.out.values():
+                if oldest.sent >= upstream.answered:
+                    expected = max(expected, now - oldest.sent - 2 * oldest.expected + expected)
+                    break
             outlook.append(expected)
         return outlook
 
@@ -467,8 +425,8 @@
             warmth = 1.0 if warm else self._warmth(upstream)
             share = upstream.size * warmth**COLD_WEIGHT
             if self.s.live_sizes:
-                # guards against speed counted twice: with the load a core told apart, the size stands for its kind's
-                value /= math.exp(self._kind(upstream))
+                # guards against speed counted twice: a size beside the load a core stands for its kind's
+                value /= upstream.usual
             # guards against a fast-failing upstream that looks idle: errors count as load
             odds.append(share * sound**ERROR_WEIGHT * max(0.05, value * warmth / mean) ** -SHARPNESS)
         return odds
@@ -484,12 +442,9 @@
         if limits is None:
             return home, away
         own, spells = self.s.zone, False
-        free, warm = limits == (None, None), self.now >= self.cold_until
+        easy = limits == (None, None) and self.now >= self.cold_until
         for upstream in self.fleet.values():
-            if free and warm:
-                fits = not upstream.gone
-            else:
-                fits = self._fits(request, limits, upstream)
+            fits = not upstream.gone if easy else self._fits(request, limits, upstream)
             if fits and upstream not in barred:
                 (home if upstream.zone == own else away).append(upstream)
                 spells = spells or bool(upstream.spells)
@@ -507,13 +462,13 @@
         if klass not in upstream.spells:
             return True
         alone = all(attempt.klass != klass for attempt in upstream.out.values())
-        return upstream.spells[klass][1] <= self.now and request.klass.effect is not Effect.UNSAFE and alone
+        return upstream.spells[klass][1] <= self.now and request.klass.effect is not i.Effect.UNSAFE and alone
 
     def _pulled(self, request: Request, upstreams: list[Upstream], odds: list[float]) -> list[float]:
-        """Odds pulled by places between 0 and 1 that each upstream has, graded, none removed: for a key, alike at
-        every instance, as what lately served one serves it with less work; and for the instance itself."""
+        """Odds pulled by places that each upstream has, graded, none removed: for a key, alike at every
+        instance, as what lately served one serves it with less work; and for the instance itself."""
         if self.s.streams > 1:
-            # guards against a connection from each instance to each upstream, which takes their places and work
+            # guards against a connection from each instance to each upstream, which costs places and work
             mark, count = self.s.instance * 0x85EBCA6B, len(upstreams)
             odds = [
                 o if u.linked >= self.now else o / (1 + (u.place(mark) * count / LINKS) ** LINK_PULL)
@@ -579,7 +534,7 @@
             # price
             gain = self._net(request, away[other], abroad[other], faint[other])
             usual = sum(o * net for o, net in zip(worthy, nets, strict=True)) / (sum(worthy) or 1.0)
-            # guards against a zone's instances leaving and coming back together: the chance grows with the gain
+            # guards against all instances of a zone leaving and coming back together: graded by lot
             lot = SPILL * self.random.random()
             if pick is None or gain - self.s.price_cross - usual > lot:
                 request.first, request.net = away[other], gain
@@ -596,10 +551,8 @@
         """A request's worth and cost that are the same for every upstream, in worths of a mean request."""
         klass, classes = request.arrival.klass, range(len(self.s.classes))
         scales = [self._scale(n) for n in classes]
-        work = request.arrival.work / self.mean_work if request.arrival.work and self.mean_work else 0.0
-        size = request.size = work if work and self.s.worth_by_work else scales[klass]
-        request.scale, request.value = scales[klass], self._class_worth(klass) * size / scales[klass]
-        request.value *= request.within
+        request.size = request.scale = scales[klass]
+        request.value = self._class_worth(klass) * request.within
         request.lot = 0.5 + self.random.random()
         # guards against a jam taken for slow upstreams: lateness itself makes work dearer
         request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
@@ -622,17 +575,26 @@
         completion x (crowded - 1) in all; the chance's slope turns that delay into worth.
         """
         warmth = self._warmth(upstream) if upstream.listed_start else 1.0
+        alone = math.exp(self.calm) * upstream.alone
         if self.s.live_sizes:
             # guards against an overrun that own answers show too late: what is listed counts in full here
-            full = upstream.alone * self.working * (1 + self._told(upstream)) / warmth
+            full = alone * self.working * (1 + self._told(upstream)) / warmth
             expected = max(expected, min(full, LISTED_MOST * expected))
         if warmth < 1:
             # guards against started upstreams idling in a jam: its crowding is that of the warm ones
-            expected *= math.exp(-self._zone(upstream).crowd.beside(self.now, 0.0))
-        crowded = expected * warmth / upstream.alone
+            expected *= math.exp(-self.zones[upstream.zone].beside(self.now, 0.0))
+        crowded = expected * warmth / alone
         late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
-        # guards against all instances turning all away, and then nothing, on one piece of late news: graded by lot
-        cost = request.lot * request.strain * CHANCE * late / (1 + late) ** 2 * max(0.0, crowded - 1) * request.size
+        # guards against all instances turning all away, and then nothing, on late news: graded by lot
+        cost = (
+            request.lot
+            * request.strain
+            * CHANCE
+            * late
+            / (1 + late) ** 2
+            * max(0.0, crowded - 1)
+            * request.size
+        )
         return self._chance(request, expected, sound) * request.value - cost
 
     def _class_worth(self, klass: int) -> float:
@@ -646,12 +608,8 @@
             0.01, self.asked[klass]
         )
 
-    def _within(self, arrival: Arrival) -> float:
-        """What a request of its tenant is worth, as a share: less the further the tenant is beyond its own share.
-
-        Guards against one tenant's burst crowding all: its first tries here against this instance's part of its
-        rate, with COLD_SPREAD deviations of chance beside it, as a part may be less than one request.
-        """
+    def _within(self, arrival: i.Arrival) -> float:
+        """Share of its worth that its tenant's part leaves a request: one's burst must not crowd all out."""
         if arrival.tenant >= len(self.s.tenant_rates):
             return 1.0
         count, at = self.tenants.get(arrival.tenant, (0.0, self.now))
@@ -661,27 +619,22 @@
         beyond = max(0.0, 1 - (part + COLD_SPREAD * math.sqrt(part)) / max(count, 1e-9))
         return 1 - beyond * (1 - self.s.over_share_worth)
 
-    def _observe(self, arrival: Arrival) -> None:
+    def _observe(self, arrival: i.Arrival) -> None:
         for n in range(len(self.asked)):
             self.asked[n] += SMOOTH / 8 * ((n == arrival.klass) - self.asked[n])
-        work = float(arrival.work)
-        if work > 0:
-            self.mean_work += SMOOTH / 4 * (work - self.mean_work) if self.mean_work else work
-        size = (
-            (work / self.mean_work if work else self._scale(arrival.klass)) if self.s.worth_by_work else 1.0
-        )
+        size = self._scale(arrival.klass) if self.s.worth_by_work else 1.0
         worth = self.s.classes[arrival.klass].worth * size
         self.mean_worth += SMOOTH / 4 * (worth - self.mean_worth) if self.mean_worth else worth
 
     # --- Attempts --------------------------------------------------------------------------------
-    def _arrive(self, arrival: Arrival) -> None:
+    def _arrive(self, arrival: i.Arrival) -> None:
         request = Request(arrival, self.s.classes[arrival.klass], self.now)
         self.requests[request.number] = request
         request.within = self._within(arrival)
         if not arrival.repeat:
             self.patience[arrival.klass] = max(self.patience[arrival.klass], arrival.patience)
         elif arrival.patience < 0.95 * self.patience[arrival.klass]:
-            # guards against repeats taken for first tries: one with less time than those has used up the rest
+            # guards against repeats taken for first tries: what those have more of is used up
             request.at = self.now + min(0, arrival.patience - request.klass.deadline)
         self.budget = min(BUDGET_BURST, self.budget + BUDGET_SHARE)
         self._observe(arrival)
@@ -707,12 +660,12 @@
             self._end(request)
         else:
             request.held = True
-            self.actions.append(SetTimer(HOLD_STEP, f"hold:{request.number}"))
+            self.actions.append(i.SetTimer(HOLD_STEP, f"hold:{request.number}"))
 
     def _timer(self, token: str) -> None:
         kind, _, rest = token.partition(":")
         if kind == "ask":
-            self.actions.append(Watch(True))
+            self.actions.append(i.Watch(True))
             return
         request = self.requests.get(int(rest)) if rest.isdigit() else None
         if request is None:
@@ -757,7 +710,7 @@
             worth = max(worth, request.klass.late_worth)
         return worth * request.value > price and worth > 0.05
 
-    def _ended(self, event: Ended) -> None:
+    def _ended(self, event: i.Ended) -> None:
         request = self.requests.get(event.request)
         if request:
             attempt = request.out.pop(event.attempt, None)
@@ -769,14 +722,14 @@
         if request is None:
             return
         if event.over:
-            if attempt is not None and attempt.copy and event.outcome is Outcome.OK:
+            if attempt is not None and attempt.copy and event.outcome is i.Outcome.OK:
                 self.budget = min(BUDGET_BURST, self.budget + COPY_PRICE)
-            self._close(request, event.outcome is Outcome.OK)
+            self._close(request, event.outcome is i.Outcome.OK)
             return
         if attempt is None:
             return
-        never = event.outcome in NEVER_RAN
-        ran = Ran(attempt.upstream.zone, attempt.upstream.cell, attempt.sent)
+        never = event.outcome in i.NEVER_RAN
+        ran = i.Ran(attempt.upstream.zone, attempt.upstream.cell, attempt.sent)
         if not never:
             request.ran.append(ran)
         elif self.memory:  # what never ran binds nobody
@@ -786,39 +739,42 @@
         # what never ran put no load on anybody: the next attempt takes its place and costs no budget
         self._further(request, copy=False, price=0 if never else 1)
 
-    # --- Health ----------------------------------------------------------------------------------
-    def _learn(self, attempt: Attempt, event: Ended) -> None:
+    # --- Health ------------------------------------------------------------------------------------
+    def _learn(self, attempt: Attempt, event: i.Ended) -> None:
         upstream, outcome = attempt.upstream, event.outcome
+        upstream.view_until = 0
+        if self.retired:
+            return
         if event.report:
             self._report(upstream, event.report)
-        if outcome is Outcome.MOOT:
+        if outcome is i.Outcome.MOOT:
             return
         upstream.used = self.now
-        broken = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
+        broken = outcome in (i.Outcome.CONNECT_FAILED, i.Outcome.RESET)
         upstream.linked = 0 if broken else self.now + self.s.keep_alive
         if attempt.dials:
-            self.refused.add(self.now, float(outcome is Outcome.CONNECT_FAILED))
-        if outcome is Outcome.RESET and 0 < attempt.rest and 4 * event.latency < attempt.expected:
+            self.refused.add(self.now, float(outcome is i.Outcome.CONNECT_FAILED))
+        if outcome is i.Outcome.RESET and 0 < attempt.rest and 4 * event.latency < attempt.expected:
             self.rest, self.rest_at = REST_SHARE * attempt.rest, self.now
-            self.actions.append(CloseIdle(upstream.name))
+            self.actions.append(i.CloseIdle(upstream.name))
             return
-        good = outcome is Outcome.OK
+        good = outcome is i.Outcome.OK
         if good:
             upstream.answered = max(upstream.answered, attempt.sent)
-        silence = outcome in (Outcome.TIMEOUT, Outcome.CANCELLED) and event.latency > attempt.expected
+        silence = outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED) and event.latency > attempt.expected
         # a silence that later sends overtook is an answer lost, and tells nothing of the upstream's pace
         if good or (silence and attempt.sent >= upstream.answered):
             self._timed(attempt, event.latency)
-        if outcome is Outcome.CANCELLED:
+        if outcome is i.Outcome.CANCELLED:
             return
         if self.guide:
             spent = event.latency / self.s.classes[attempt.klass].aim
             self.guide.ended(self.now, good and spent <= 1, good and spent <= 0.5)
-        if outcome is Outcome.TIMEOUT and upstream.heard_at > attempt.sent:
+        if outcome is i.Outcome.TIMEOUT and upstream.heard_at > attempt.sent:
             return  # slow, not silent: the latency counts it; overload must not look like failure
-        if outcome is not Outcome.TIMEOUT:
+        if outcome is not i.Outcome.TIMEOUT:
             upstream.heard_at = self.heard_at = self.now
-        failed = not good and outcome is not Outcome.FULL
+        failed = not good and outcome is not i.Outcome.FULL
         klass = attempt.klass
         own = upstream.own.get(klass, (upstream.errors, 0))[0]
         upstream.own[klass] = own + SMOOTH * (failed - own), self.now
@@ -834,7 +790,7 @@
                 upstream.spells.pop(klass, None)
             return
         # a full or unreachable upstream says so at once, for all; other failures must repeat, or fail a trial
-        plain = outcome in (Outcome.FULL, Outcome.CONNECT_FAILED)
+        plain = outcome in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED)
         if plain or klass in upstream.spells or sick >= SICK:
             for each in range(len(self.s.classes)) if plain else (klass,):
                 length, until = upstream.spells.get(each, (0, 0))
@@ -847,7 +803,7 @@
         upstream, size = attempt.upstream, self.sizes[attempt.klass]
         if self._warmth(upstream) < 1:
             return  # how warm it truly was is not told, so nothing is learnt of pace or crowding
-        zone, kind = self._zone(upstream).crowd, self.kinds.get(upstream.kind)
+        zone, kind = self.zones[upstream.zone], self.kinds.get(upstream.kind)
         if kind is None:
             kind = self.kinds[upstream.kind] = Evidence()
         # guards against a clock too coarse to tell: an answer in no time still takes some
@@ -930,25 +886,25 @@
         if not request.sends and not self.memory:
             return None, None
         maybe = self._maybe(request)
-        if (request.out and not s.parallel) or (maybe and klass.effect is Effect.UNSAFE):
+        if (request.out and not s.parallel) or (maybe and klass.effect is i.Effect.UNSAFE):
             return None
-        if maybe and klass.effect is Effect.KEYED:
+        if maybe and klass.effect is i.Effect.KEYED:
             if self.now >= self._by(request):
                 return None
-            if klass.group is not Group.ALL:
-                return maybe[0].zone, maybe[0].cell if klass.group is Group.CELL else None
+            if klass.group is not i.Group.ALL:
+                return maybe[0].zone, maybe[0].cell if klass.group is i.Group.CELL else None
         return None, None
 
-    def _maybe(self, request: Request) -> list[Ran]:
+    def _maybe(self, request: Request) -> list[i.Ran]:
         """All that may have run for it, or may yet; under its key, where that is remembered."""
-        if self.memory and request.arrival.once and request.klass.effect is Effect.KEYED:
+        if self.memory and request.arrival.once and request.klass.effect is i.Effect.KEYED:
             return self.memory.recall(self.now, request.arrival.once)
-        out = [Ran(a.upstream.zone, a.upstream.cell, a.sent) for a in request.out.values()]
+        out = [i.Ran(a.upstream.zone, a.upstream.cell, a.sent) for a in request.out.values()]
         return request.ran + out if out else request.ran
 
     def _by(self, request: Request) -> int:
         """When its group begins to forget its key; 0 where nothing may have run, or it has none."""
-        maybe = self._maybe(request) if request.klass.effect is Effect.KEYED else []
+        maybe = self._maybe(request) if request.klass.effect is i.Effect.KEYED else []
         return min(ran.sent for ran in maybe) + request.klass.window if maybe else 0
 
     def _fits(self, request: Request, limits: tuple[int | None, int | None], upstream: Upstream) -> bool:
@@ -970,46 +926,47 @@
         attempt = Attempt(request, upstream, self.now)
         if attempt.rest * math.exp((self.rest_at - self.now) / FORGET_SPEED) > self.rest:
             # guards against connections dropped unseen: what is sent on one may have run, and is lost
-            self.actions.append(CloseIdle(upstream.name))
+            self.actions.append(i.CloseIdle(upstream.name))
             attempt.rest = 0
         by = self._by(request) if request.sends or self.memory else 0
         attempt.expected = expected = self._scale(attempt.klass) * self._expected(upstream)
         attempt.backlog = self._backlog(upstream)
         request.out[attempt.number] = attempt
         upstream.out[(request.number, attempt.number)] = attempt
-        self.expecting.pop(upstream, None)
-        if self.memory and request.arrival.once and request.klass.effect is Effect.KEYED:
-            self.memory.ran(request.arrival.once, Ran(upstream.zone, upstream.cell, self.now))
+        if self.memory and request.arrival.once and request.klass.effect is i.Effect.KEYED:
+            self.memory.ran(request.arrival.once, i.Ran(upstream.zone, upstream.cell, self.now))
         request.sends += 1
         request.tried.append(upstream)
         if self._warmth(upstream) < 1:
             upstream.cold_sent.append(self.now)
-        self.actions.append(Send(request.number, upstream.name, by=by))
-        if self.s.parallel and request.klass.effect is not Effect.UNSAFE and expected:
+        self.actions.append(i.Send(request.number, upstream.name, by=by))
+        if self.s.parallel and request.klass.effect is not i.Effect.UNSAFE and expected:
             # guards against copies, and their crossings, that buy nothing: one is early enough while it is
             # likely to be in time itself
             copy = request.scale * self._expected(request.second) if request.second else expected
             left = request.klass.aim - (self.now - request.at)
             after = max(HEDGE_AFTER * expected, left - HEDGE_ROOM * copy)
-            self.actions.append(SetTimer(int(after) + 1, f"copy:{request.number}"))
+            self.actions.append(i.SetTimer(int(after) + 1, f"copy:{request.number}"))
         return True
 
     def _end(self, request: Request) -> None:
         """The final answer of a request given up on: a refusal where the rule allows one."""
         klass = request.klass
         maybe = bool(self._maybe(request))
-        repeats = klass.effect is Effect.SAFE or (klass.effect is Effect.KEYED and klass.group is Group.ALL)
+        repeats = klass.effect is i.Effect.SAFE or (
+            klass.effect is i.Effect.KEYED and klass.group is i.Group.ALL
+        )
         advice = min(self.s.max_retry_after, klass.aim) if self.s.retry_advice else 0
         latest = self.now + (self.s.max_retry_after if self.guide else advice)
-        if self.memory and maybe and klass.effect is Effect.KEYED and latest >= self._by(request):
+        if self.memory and maybe and klass.effect is i.Effect.KEYED and latest >= self._by(request):
             # guards against calling a repeat harmless that comes when its group has forgotten the key
             repeats = False
         if not maybe or repeats:
             if advice and self.guide:
                 advice = self.guide.returns(self.now, klass.aim, self.s.max_retry_after)
-            self.actions.append(Refuse(request.number, advice))
+            self.actions.append(i.Refuse(request.number, advice))
         else:
-            self.actions.append(Fail(request.number))
+            self.actions.append(i.Fail(request.number))
         self._close(request)
 
     def _close(self, request: Request, answered: bool = False) -> None:
@@ -1024,4 +981,4 @@
         for number, attempt in request.out.items():
             self.orphans[(request.number, number)] = attempt
             if self.s.may_cancel and not request.began:
-                self.actions.append(Cancel(request.number, number))
+                self.actions.append(i.Cancel(request.number, number))
--- a/linetrack/settings.py
+++ b/linetrack/settings.py
@@ -89,6 +89,13 @@
             raise SettingsError(f"{self.at(name)}: {self.values.get(name)!r} is not a whole number")
         return int(number)
 
+    def above(self, name: str, least: int, default: int | None = None) -> int:
+        """A whole number that is no less."""
+        number = self.whole(name, default)
+        if number < least:
+            raise SettingsError(f"{self.at(name)}: {number} is under {least}")
+        return number
+
     def flag(self, name: str) -> bool:
         value = self.values.get(name, False)
         flag = FLAGS.get(str(value).lower())
@@ -98,10 +105,10 @@
 
 
 def _class(node: Node) -> i.RequestClass:
-    deadline = node.whole("deadlineUs")
+    deadline = node.above("deadlineUs", 1)
     return i.RequestClass(
         effect=node.one_of("repeat", EFFECTS, "single_shot"),
-        aim=node.whole("aimUs", deadline),
+        aim=node.above("aimUs", 1, deadline),
         deadline=deadline,
         aim_stretch=node.number("aimStretch", 0.0),
         worth=node.number("worth", 1.0),
@@ -123,7 +130,7 @@
     return i.Settings(
         classes=classes,
         instance=root.whole("me", 0),
-        instances=max(1, root.whole("balancers", 1)),
+        instances=root.above("balancers", 1, 1),
         zone=root.whole("zone", 0),
         zones=max(1, len(root.names("azs"))),
         report_fields=tuple(LOADS.get(f, i.Load.OTHER) for f in (stats.names("fields") if inline else [])),
@@ -139,7 +146,7 @@
         parallel=allowed.flag("parallelTries"),
         retry_advice=allowed.flag("retryAfter"),
         max_retry_after=allowed.whole("maxRetryAfterUs", 0),
-        max_attempts=max(1, allowed.whole("maxAttempts", 1)),
+        max_attempts=allowed.above("maxAttempts", 1, 1),
         price_cross=prices.number("crossZone", 0.0),
         price_waste=prices.number("waste", 0.0),
         price_late=prices.number("lateFail", 0.0),
@@ -150,6 +157,6 @@
         over_share_worth=root.number("overShareWorth", 1.0),
         warm_keys=root.part("extra").flag("warmKeys"),
         live_sizes=root.one_of("weights", SIZES, "off"),
-        streams=max(1, allowed.whole("multiplex", 1)),
-        keep_alive=allowed.whole("keepaliveUs", 0),
+        streams=allowed.above("multiplex", 1, 1),
+        keep_alive=allowed.above("keepaliveUs", 0, 0),
     )
