--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -35,7 +35,7 @@
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
-VIEW = SECOND // 2  # what is expected of an idle upstream stands so long where nothing new was told of it
+VIEW = SECOND  # what is expected of an idle upstream stands so long where nothing new was told of it
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
 COPY_PRICE = (
     5.0  # what a copy takes from it, given back if it serves the request: heavy ones are not run twice
@@ -387,7 +387,7 @@
             if not warm:
                 expected /= self._warmth(upstream)
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
-            for oldest in upstream.out.values():
+            for oldest in upstream.out.values() if upstream.out else ():
                 if oldest.sent >= upstream.answered:
                     expected = max(expected, now - oldest.sent - 2 * oldest.expected + expected)
                     break
@@ -420,15 +420,16 @@
     ) -> list[float]:
         """1 / penalty of each: its expected completion over the own zone's mean, per listed size."""
         odds = []
-        warm = self.now >= self.cold_until
+        warm, live = self.now >= self.cold_until, self.s.live_sizes
         for upstream, value, sound in zip(upstreams, expected, sounds, strict=True):
-            warmth = 1.0 if warm else self._warmth(upstream)
-            share = upstream.size * warmth**COLD_WEIGHT
-            if self.s.live_sizes:
-                # guards against speed counted twice: a size beside the load a core stands for its kind's
-                value /= upstream.usual
             # guards against a fast-failing upstream that looks idle: errors count as load
-            odds.append(share * sound**ERROR_WEIGHT * max(0.05, value * warmth / mean) ** -SHARPNESS)
+            share = upstream.size * sound**ERROR_WEIGHT if sound < 1 else upstream.size
+            if not warm:
+                share *= self._warmth(upstream) ** COLD_WEIGHT
+                value *= self._warmth(upstream)
+            # guards against speed counted twice: a size beside the load a core stands for its kind's
+            value /= mean * upstream.usual if live else mean
+            odds.append(share * (value if value > 0.05 else 0.05) ** -SHARPNESS)
         return odds
 
     # --- Candidates ------------------------------------------------------------------------------
@@ -526,18 +527,18 @@
         if pick is not None and nets[pick] < 0 and any(worthy):
             # guards against refusing for one bad draw: drawn again among those worth the work
             pick = self._draw(home, worthy)
-        request.first = None
+        request.first = request.second = None
         if pick is not None:
             request.first, request.net = home[pick], nets[pick]
         if other is not None:
-            # spillover: the own zone is short, and the worth gained over a usual draw exceeds the crossing's
-            # price
+            # spillover: the own zone is short, and the worth gained over a usual draw exceeds the price
             gain = self._net(request, away[other], abroad[other], faint[other])
             usual = sum(o * net for o, net in zip(worthy, nets, strict=True)) / (sum(worthy) or 1.0)
             # guards against all instances of a zone leaving and coming back together: graded by lot
-            lot = SPILL * self.random.random()
-            if pick is None or gain - self.s.price_cross - usual > lot:
+            if pick is None or gain - self.s.price_cross - usual > SPILL * self.random.random():
                 request.first, request.net = away[other], gain
+        if request.net < 0:
+            return  # it is shed
         cross = 1 + self.s.price_cross * CROSS_AVERSION
         rest, share = home + away, odds + [o / cross for o in far]
         if request.first is not None:
@@ -586,15 +587,8 @@
         crowded = expected * warmth / alone
         late: float = min(1.0, request.stretch * expected / request.room) ** CHANCE
         # guards against all instances turning all away, and then nothing, on late news: graded by lot
-        cost = (
-            request.lot
-            * request.strain
-            * CHANCE
-            * late
-            / (1 + late) ** 2
-            * max(0.0, crowded - 1)
-            * request.size
-        )
+        slope = CHANCE * late / (1 + late) ** 2
+        cost = request.lot * request.strain * slope * max(0.0, crowded - 1) * request.size
         return self._chance(request, expected, sound) * request.value - cost
 
     def _class_worth(self, klass: int) -> float:
