Live weights and tenants in the operators' file; the switch shown on sockets, there and back

test_switch.py: six callers with unsafe requests while settings switch four times; each request has one answer and ran at most once, the classes of either file act and those of the other do not. A faulty file, by key, changes nothing.

--- a/linetrack/config/operators.py
+++ b/linetrack/config/operators.py
@@ -58,6 +58,7 @@
     dial_timeout_ms: Positive = 250.0
     keep_alive_ms: Positive = 30_000.0
     report_fields: tuple[str, ...] = ()
+    weights: Literal["off", "nominal", "rough", "live"] = "off"  # live: over 1 + requests held a core
     kinds: tuple[str, ...] = ()
     cold_from: Share = 1.0  # of the capacity, at a start
     warm_up_ms: NotNegative = 0.0
@@ -67,6 +68,13 @@
     price_cross_zone: NotNegative = 0.0
 
 
+class Tenant(Part, frozen=True, kw_only=True):
+    """One tenant's share; a request's `party` is its place in the file, from 0."""
+
+    name: Name
+    rate: Positive  # requests a second, over all sidecars
+
+
 class Sidecar(Part, frozen=True, kw_only=True):
     name: Name
     listen: str
@@ -93,6 +101,8 @@
     retries: Retries = Retries()
     upstreams: Upstreams = Upstreams()
     storms: Storms = Storms()
+    tenants: tuple[Tenant, ...] = ()
+    over_share_worth: Share = 1.0  # of a request beyond its tenant's share, as a part of its worth
 
     def __post_init__(self) -> None:
         if self.sidecar.zone not in self.zones:
@@ -155,6 +165,9 @@
             "keepaliveUs": us(up.keep_alive_ms),
         },
         "deductions": {"crossZone": up.price_cross_zone},
+        "weights": up.weights,
+        "customers": [{"name": tenant.name, "quotaRps": tenant.rate} for tenant in file.tenants],
+        "overShareWorth": file.over_share_worth,
     }
     return {
         "name": side.name,
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -747,8 +747,8 @@
         broken = outcome in (i.Outcome.CONNECT_FAILED, i.Outcome.RESET)
         upstream.linked = 0 if broken else self.now + self.s.keep_alive
         if attempt.dials:
-            self.refused.add(self.now, float(outcome is i.Outcome.CONNECT_FAILED))
-        if outcome is i.Outcome.RESET and 0 < attempt.rest and 4 * event.latency < attempt.expected:
+            self.refused.add(self.now, float(event.outcome is i.Outcome.CONNECT_FAILED))
+        if outcome is i.Outcome.RESET and attempt.rest > 0 and 4 * event.latency < attempt.expected:
             self.rest, self.rest_at = REST_SHARE * attempt.rest, self.now
             self.actions.append(i.CloseIdle(upstream.name))
             return
--- a/tests/test_four_rules.py
+++ b/tests/test_four_rules.py
@@ -7,6 +7,7 @@
 from hypothesis import HealthCheck, given, settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from linetrack.decide.handover import Handover
 from linetrack.interface import (
     NEVER_RAN,
     Action,
@@ -29,7 +30,6 @@
     Settings,
     TimerDue,
 )
-from linetrack.decide.handover import Handover
 from linetrack.rules import Balancer
 from tests import helpers
 from tests.helpers import CLASSES, MS, SECOND
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from linetrack import rules
 from linetrack.interface import (
     Arrival,
     Cancel,
@@ -23,7 +24,6 @@
     TimerDue,
     Watch,
 )
-from linetrack import rules
 from linetrack.rules import Balancer, Evidence, Request, Upstream
 from tests.helpers import CELL, KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -24,8 +24,6 @@
 )
 from tests.helpers import MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
-LIVE = {"live_sizes": True, "report_fields": (Load.UTIL, Load.INFLIGHT), "warm_up": 0}
-
 
 def listed(sizes: dict[str, float], kinds: dict[str, int] | None = None) -> FleetNews:
     kinds = kinds or {}
@@ -37,7 +35,7 @@
 
 
 def live(sizes: dict[str, float], kinds: dict[str, int] | None = None) -> Driver:
-    driver = Driver(entries=(), **LIVE)
+    driver = Driver(entries=(), live_sizes=True, report_fields=(Load.UTIL, Load.INFLIGHT), warm_up=0)
     driver.feed(listed(sizes, kinds))
     return driver
 
--- /dev/null
+++ b/tests/test_switch.py
@@ -0,0 +1,215 @@
+"""Other settings in a running program, there and back: by SIGHUP, under load, with a ledger on both sides."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from collections import Counter
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from linetrack.net.config import ConfigError, config_of
+from tests.stand_ins import (
+    MS,
+    SECOND,
+    Message,
+    Sidecar,
+    Upstream,
+    Wire,
+    World,
+    answer,
+    config,
+    request,
+    until,
+)
+
+
+def reload(sidecar: Sidecar, values: dict[str, Any] | str) -> None:
+    """Give the program this file and wait until it has said what it made of it."""
+    assert sidecar.process is not None
+    text = values if isinstance(values, str) else json.dumps(values)
+    before = len(sidecar.log())
+    (sidecar.folder / "config.json").write_text(text)
+    sidecar.process.send_signal(signal.SIGHUP)
+    until(lambda: any(word in sidecar.log()[before:] for word in ('"reloaded"', "reload_faulty")))
+
+
+def moved(old: dict[str, Any]) -> dict[str, Any]:
+    """A deployment of another shape: more places, live weights, one class gone and one come, one attempt."""
+    new: dict[str, Any] = json.loads(json.dumps(old))
+    settings = new["settings"]
+    settings["azs"] = ["west", "north", "south"]
+    settings["zone"] = 1
+    settings["weights"] = "live"
+    settings["allowed"] |= {"multiplex": 100, "maxAttempts": 1, "maxRetryAfterUs": 300 * MS}
+    settings["classes"] = [settings["classes"][1], {**settings["classes"][0], "name": "quote"}]
+    return new
+
+
+class Ledger:
+    """What callers sent and were answered, by id."""
+
+    def __init__(self) -> None:
+        self.answers: dict[str, list[int]] = {}
+        self.lock = threading.Lock()
+
+    def ask(self, sidecar: Sidecar, klass: str, trace: str) -> int:
+        reply = sidecar.talk(request(f"/{klass}/k", "GET", f"X-Trace-Id: {trace}", "X-Expires-In: 2.0"))
+        with self.lock:
+            self.answers.setdefault(trace, []).append(reply.status)
+        return reply.status
+
+
+def test_settings_switch_there_and_back_under_load_and_nothing_is_lost_or_sent_twice(tmp_path: Path) -> None:
+    def work(message: Message, wire: Wire) -> bytes:
+        time.sleep(0.02)
+        return answer(b"ok")
+
+    servers = [Upstream(name, work) for name in ("a", "b", "c")]
+    world, ledger, stop = World(tmp_path, *servers), Ledger(), threading.Event()
+    faults: list[BaseException] = []
+
+    def caller(number: int) -> None:
+        try:
+            for turn in range(10_000):
+                if stop.is_set():
+                    return
+                ledger.ask(sidecar, "pay", f"{number}-{turn}")
+        except BaseException as fault:
+            faults.append(fault)
+
+    with world as sidecar:
+        old = dict(sidecar.config)
+        callers = [threading.Thread(target=caller, args=(number,)) for number in range(6)]
+        for thread in callers:
+            thread.start()
+        for values, klass, gone in ((moved(old), "quote", "look"), (old, "look", "quote")) * 2:
+            answered = len(ledger.answers)
+            reload(sidecar, values)
+            until(partial(lambda before: len(ledger.answers) > before + 30, answered))
+            # the settings in force are seen to act, and those before them no longer
+            assert ledger.ask(sidecar, klass, f"{klass}{answered}") == 200
+            assert ledger.ask(sidecar, gone, f"{gone}{answered}") == 400
+        stop.set()
+        for thread in callers:
+            thread.join()
+        log = sidecar.log()
+        assert sidecar.end() == 0
+    assert not faults
+    assert all(len(statuses) == 1 for statuses in ledger.answers.values())
+    paid = [statuses[0] for trace, statuses in ledger.answers.items() if "-" in trace]
+    assert set(paid) <= {200, 503}
+    ran = Counter(message.headers["x-trace-id"] for server in servers for message in list(server.seen))
+    assert max(ran.values()) == 1, "an unsafe request ran twice"
+    assert log.count('"settings_switched"') == 4
+    assert '"multiplex_unused"' in log and '"used": 1' in log
+
+
+def test_what_was_taken_before_a_switch_keeps_its_class_and_effect(tmp_path: Path) -> None:
+    """Its class is gone after the switch, and its number is an unsafe class's, which could only fail."""
+    held, switched = threading.Event(), threading.Event()
+
+    def first(message: Message, wire: Wire) -> bytes | None:
+        held.set()
+        assert switched.wait(20)
+        return None  # the connection breaks: what was sent may have run
+
+    with World(tmp_path, Upstream("a", first)) as sidecar:
+        old = dict(sidecar.config)
+        statuses: list[int] = []
+        thread = threading.Thread(target=lambda: statuses.append(sidecar.ask("look").status))
+        thread.start()
+        assert held.wait(20)
+        reload(sidecar, moved(old))
+        until(lambda: "settings_switched" in sidecar.log())
+        assert '"still_open": 1' in sidecar.log()
+        switched.set()
+        thread.join()
+        # refused, as trying again is harmless; an unsafe one that may have run gets 502
+        assert statuses == [503]
+        assert sidecar.ask("pay").status == 502
+        assert sidecar.end() == 0
+
+
+def test_nothing_goes_to_a_draining_upstream_after_a_switch(tmp_path: Path) -> None:
+    a, b = Upstream("a"), Upstream("b")
+    world = World(tmp_path, a, b)
+    with world as sidecar:
+        old = dict(sidecar.config)
+        world.discovery.change(a.entry(state="DRAINING"))
+        until(lambda: all(sidecar.ask().body == b"b" for _ in range(12)))
+        seen = len(a.seen)
+        reload(sidecar, moved(old))
+        assert {sidecar.ask("quote").body for _ in range(20)} == {b"b"}
+        reload(sidecar, old)
+        assert {sidecar.ask("look").body for _ in range(20)} == {b"b"}
+        assert len(a.seen) == seen
+
+
+def test_a_faulty_file_leaves_the_settings_in_force(tmp_path: Path) -> None:
+    with World(tmp_path, Upstream("a")) as sidecar:
+        old = dict(sidecar.config)
+        for values in faulty(old).values():
+            reload(sidecar, values)
+            assert sidecar.ask("look").status == 200
+            time.sleep(1.0)  # a line of one event a second
+        assert "settings_switched" not in sidecar.log()
+        assert sidecar.log().count("reload_faulty") == len(faulty(old))
+
+
+def faulty(values: dict[str, Any]) -> dict[str, str]:
+    """Files that make no sense, by the key that is to blame."""
+
+    def changed(part: str, key: str, value: Any) -> str:
+        new = moved(values)
+        (new["settings"] if not part else new["settings"][part])[key] = value
+        return json.dumps(new)
+
+    classes = json.loads(json.dumps(moved(values)["settings"]["classes"]))
+    classes[1]["deadlineUs"] = 0
+    return {
+        "EDGE_CONFIG": json.dumps(values)[:300],
+        "settings.classes": changed("", "classes", []),
+        "settings.classes.1.deadlineUs": changed("", "classes", classes),
+        "settings.allowed.maxAttempts": changed("allowed", "maxAttempts", 0),
+        "settings.allowed.multiplex": changed("allowed", "multiplex", 0),
+        "settings.weights": changed("", "weights", "heavy"),
+    }
+
+
+def test_each_fault_names_its_key(tmp_path: Path) -> None:
+    values = {**config("127.0.0.1:9", []), "listen": "127.0.0.1:8"}
+    for key, text in faulty(values).items():
+        if key != "EDGE_CONFIG":
+            with pytest.raises(ConfigError, match=key.replace(".", r"\.")):
+                config_of(json.loads(text), {})
+
+
+def test_places_keep_their_numbers_and_what_needs_a_start_stays() -> None:
+    values = {**config("127.0.0.1:9", []), "listen": "127.0.0.1:8"}
+    old = config_of(values, {})
+    new = config_of({**moved(values), "name": "other", "limits": {"sockets": 100}}, {})
+    assert old.restart_for(new) == ["limits.memory_mb", "limits.sockets", "name"] or old.restart_for(new) == [
+        "limits.sockets",
+        "name",
+    ]
+    after = new.after(old)
+    assert after.zone_names == ("north", "south", "west") and after.settings.zone == 0
+    assert (after.name, after.sockets) == (old.name, old.sockets)
+    assert (after.told_streams, after.settings.streams) == (100, 1)
+    back = old.after(after)
+    assert back.zone_names == after.zone_names and back.settings == old.settings
+    assert back.same_settings(config_of(values, {}).after(after))
+    assert not back.same_settings(after)
+
+
+def test_the_keys_of_the_new_shape_reach_the_policy_and_stay_neutral_where_absent() -> None:
+    values = {**config("127.0.0.1:9", []), "listen": "127.0.0.1:8"}
+    plain, new = config_of(values, {}).settings, config_of(moved(values), {}).settings
+    assert (plain.live_sizes, new.live_sizes) == (False, True)
+    assert plain.keep_alive == new.keep_alive == 30 * SECOND
