--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -64,6 +64,7 @@
 SPILL = 0.1  # net worth gained above a crossing's price at which all cross; less, so many fewer
 LISTED_MOST = 2.0  # what is listed may at most make a send look so many times as crowded as own answers do
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
+SHED_HOLDS = 2 * SECOND // 5  # after one of a class was shed its repeats are, so long
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
 ASK_PACE = 10_000  # time between first calls to discovery, over all instances that start together
@@ -203,6 +204,7 @@
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
         self.served = [1.0] * len(settings.classes)
         self.tenants: dict[int, tuple[float, int]] = {}  # first tries of each, fading, and as of when
+        self.shed = [-SECOND] * len(settings.classes)  # when one of each was last shed
         self.patience = [0] * len(settings.classes)  # the longest that a first try had
         self.mean_pace = 0.0
         self.ask_wait = ASK_AGAIN
@@ -633,7 +635,10 @@
         self.budget = min(BUDGET_BURST, self.budget + BUDGET_SHARE)
         self._observe(arrival)
         worth = self._class_worth(arrival.klass) / self._scale(arrival.klass) if self.guide else 0.0
-        if (self.guide and not self.guide.admits(self.now, arrival, worth)) or not self._limits(request):
+        # guards against storms of repeats, each weighed against the whole fleet: a verdict holds a moment
+        same = arrival.repeat and self.now - self.shed[arrival.klass] < SHED_HOLDS
+        admitted = not same and (not self.guide or self.guide.admits(self.now, arrival, worth))
+        if not admitted or not self._limits(request):
             self._end(request)
         else:
             self._start(request)
@@ -643,6 +648,7 @@
         if request.first is None:
             self._hold(request)
         elif request.net < 0:  # load shedding
+            self.shed[request.arrival.klass] = self.now
             self._end(request)
         else:
             self._send(request, request.first)
