--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -35,11 +35,10 @@
 ERROR_WEIGHT = 4.0  # an upstream with error share e counts as (1 - e) ** -this more loaded
 HEDGE_AFTER = 3.0  # the first send's timer, in smoothed latencies (the design page's default)
 HEDGE_ROOM = 5.0  # it may wait until so many of the copy's own expected latencies are left of the aim
+VIEW_STEP = 0.15  # but for a change of load by more than this share
 VIEW = SECOND  # what is expected of an idle upstream stands so long where nothing new was told of it
 BUDGET_SHARE = 0.15  # copies and further attempts per first send, over time
-COPY_PRICE = (
-    5.0  # what a copy takes from it, given back if it serves the request: heavy ones are not run twice
-)
+COPY_PRICE = 5.0  # what a copy takes from it, given back if it serves: heavy ones are not to run twice
 REST_SHARE = 0.7  # of the rest after which a connection was reset at once, later ones are closed before use
 BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
@@ -54,12 +53,8 @@
 KEY_PULL = 2.0  # a key raises the odds of the upstreams that it shares with all, the first of n by n ** this
 CROSS_AVERSION = 20.0  # a crossing multiplies a second candidate's penalty by 1 + price x this
 EVEN = 0.1  # share served within which classes count as equally badly served
-LINKS = (
-    5.0  # where a connection carries many, an instance keeps to about so many upstreams of a zone at first
-)
-LINK_PULL = (
-    6.0  # the odds of the n-th are divided by 1 + (n / LINKS) ** this while it has no connection there
-)
+LINKS = 5.0  # upstreams of a zone that an instance keeps to where a connection carries many requests
+LINK_PULL = 6.0  # the n-th is divided by 1 + (n / LINKS) ** this while there is no connection
 SHARE_SPAN = 5 * SECOND  # a tenant's own rate is counted over about this time
 SPILL = 0.1  # net worth gained above a crossing's price at which all cross; less, so many fewer
 LISTED_MOST = 2.0  # what is listed may at most make a send look so many times as crowded as own answers do
@@ -325,8 +320,10 @@
         beyond = max(0.0, figure - len(upstream.out))
         # late news swings shares: smoothed, and own sends are counted on top as they happen
         fresh = 1 - math.exp((upstream.load_at - self.now) / over) if upstream.load_at else 1.0
-        upstream.others += max(least, fresh) * (beyond - upstream.others)
-        upstream.load_at, upstream.view_until = self.now, 0
+        change = max(least, fresh) * (beyond - upstream.others)
+        upstream.others, upstream.load_at = upstream.others + change, self.now
+        if abs(change) > VIEW_STEP * (1 + upstream.others):
+            upstream.view_until = 0
         self.others[upstream.zone] += SMOOTH / 4 * (beyond - self.others[upstream.zone])
 
     # --- Penalty ---------------------------------------------------------------------------------
