--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -59,7 +59,7 @@
 SPILL = 0.1  # net worth gained above a crossing's price at which all cross; less, so many fewer
 LISTED_MOST = 2.0  # what is listed may at most make a send look so many times as crowded as own answers do
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
-SHED_HOLDS = 2 * SECOND // 5  # after one of a class was shed its repeats are, so long
+SHED_HOLDS = 6_000  # after one of a class was shed its repeats are, so long for each upstream to be weighed
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
 ASK_PACE = 10_000  # time between first calls to discovery, over all instances that start together
@@ -633,7 +633,7 @@
         self._observe(arrival)
         worth = self._class_worth(arrival.klass) / self._scale(arrival.klass) if self.guide else 0.0
         # guards against storms of repeats, each weighed against the whole fleet: a verdict holds a moment
-        same = arrival.repeat and self.now - self.shed[arrival.klass] < SHED_HOLDS
+        same = arrival.repeat and self.now - self.shed[arrival.klass] < SHED_HOLDS * len(self.fleet)
         admitted = not same and (not self.guide or self.guide.admits(self.now, arrival, worth))
         if not admitted or not self._limits(request):
             self._end(request)
