--- a/linetrack/decide/handover.py
+++ b/linetrack/decide/handover.py
@@ -14,6 +14,8 @@
 from linetrack.decide import snapshot
 from linetrack.rules import Balancer
 
+FOR_EVER = 1 << 62
+
 
 class Handover:
     """In the policy's place for its host; one instance but for moments after a switch."""
@@ -34,7 +36,7 @@
         """
         if not isinstance(self.policy, Balancer):
             raise TypeError("this policy takes its settings at its start only")
-        old, self.policy = self.policy, self.policy.succeed(settings)
+        old, self.policy = self.policy, heir(self.policy, settings)
         self.before.append(old)
         self._let_go()
         return sum(len(policy.requests) for policy in self.before)
@@ -60,12 +62,37 @@
 
     def avoided(self, now: int) -> int:
         """How many listed upstreams are out of rotation; none where the policy is not ours."""
-        return self.policy.avoided(now) if isinstance(self.policy, Balancer) else 0
+        return avoided(self.policy, now) if isinstance(self.policy, Balancer) else 0
 
     def _let_go(self) -> None:
         self.before = [policy for policy in self.before if policy.requests or policy.orphans]
 
 
+def heir(old: Balancer, settings: i.Settings) -> Balancer:
+    """The same instance under other settings: the heir has its fleet view, what is open ends where it is.
+
+    Guards against a switch that forgets drains, budgets or what is out.  What was learnt of classes,
+    loads and tenants is forgotten, and what still ends at the old one teaches nothing any more."""
+    new = Balancer(settings, old.random.getrandbits(64), old.guide, old.memory)
+    new.fleet, new.budget, old.retired = old.fleet, old.budget, True
+    new.zones, new.kinds, new.rates, new.work = old.zones, old.kinds, old.rates, old.work
+    new.calm, new.answers, new.mean_pace = min(old.calm, new.calm_most), old.answers, old.mean_pace
+    new.watching, new.heard_at, old.cold_until = old.watching, old.heard_at, FOR_EVER
+    new.rest, new.rest_at, new.refused = old.rest, old.rest_at, old.refused
+    for upstream in old.fleet.values():
+        upstream.own, upstream.spells, upstream.load_at, upstream.others = {}, {}, 0, 0.0
+        new.cold_until = max(new.cold_until, upstream.listed_start + settings.warm_up)
+    return new
+
+
+def avoided(policy: Balancer, now: int) -> int:
+    """How many listed upstreams get nothing while others may: draining, or in a spell in every class."""
+    classes = range(len(policy.s.classes))
+    return sum(
+        u.gone or all(u.spells.get(c, (0, 0))[1] > now for c in classes) for u in policy.fleet.values()
+    )
+
+
 def _holds(policy: Balancer, number: int | None) -> bool:
     return number in policy.requests or any(number == request for request, _ in policy.orphans)
 
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -18,7 +18,6 @@
 
 # --- Tunables: ratios, and times with no counterpart in the settings -----------------------------
 SECOND = 1_000_000
-FOR_EVER = 1 << 62
 SMOOTH = 0.2  # weight of a new observation in each EWMA: about the last ten decide
 BUSIEST = 0.85  # a reported utilisation above this is mostly noise
 FORGET_LOAD = 1 * SECOND  # a load report not renewed fades to the mean over this time
@@ -239,29 +238,6 @@
                         attempt.upstream.out[(request.number, attempt.number)] = attempt
         return self.actions  # probes are never sent, peers never asked: nothing rests on their words
 
-    def avoided(self, now: int) -> int:
-        """How many listed upstreams get nothing while others may: draining, or in a spell in every class."""
-        classes = range(len(self.s.classes))
-        return sum(
-            u.gone or all(u.spells.get(c, (0, 0))[1] > now for c in classes) for u in self.fleet.values()
-        )
-
-    def succeed(self, settings: i.Settings) -> Balancer:
-        """This instance under other settings: the heir has its fleet view, what is open ends here.
-
-        Guards against a switch that forgets drains, budgets or what is out.  What was learnt of classes,
-        loads and tenants is forgotten, and what still ends here teaches nothing any more."""
-        heir = Balancer(settings, self.random.getrandbits(64), self.guide, self.memory)
-        heir.fleet, heir.budget, self.retired = self.fleet, self.budget, True
-        heir.zones, heir.kinds, heir.rates, heir.work = self.zones, self.kinds, self.rates, self.work
-        heir.calm, heir.answers, heir.mean_pace = min(self.calm, heir.calm_most), self.answers, self.mean_pace
-        heir.watching, heir.heard_at, self.cold_until = self.watching, self.heard_at, FOR_EVER
-        heir.rest, heir.rest_at, heir.refused = self.rest, self.rest_at, self.refused
-        for upstream in self.fleet.values():
-            upstream.own, upstream.spells, upstream.load_at, upstream.others = {}, {}, 0, 0.0
-            heir.cold_until = max(heir.cold_until, upstream.listed_start + settings.warm_up)
-        return heir
-
     # --- Fleet view ------------------------------------------------------------------------------
     def _news(self, news: i.FleetNews) -> None:
         if news.form is i.ListForm.REFUSED:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from linetrack.decide.figures import Fate, Figures
+from linetrack.decide.handover import avoided
 from linetrack.interface import Outcome
 from tests.helpers import SAFE, SECOND, Driver
 from tests.stand_ins import (
@@ -164,12 +165,12 @@
 
 def test_an_upstream_is_out_of_rotation_while_it_drains_or_is_in_a_spell_for_every_class() -> None:
     driver = Driver(warm_up=0)
-    assert driver.balancer.avoided(driver.now) == 0
+    assert avoided(driver.balancer, driver.now) == 0
     request, actions = driver.ask(SAFE)
     first = actions[0].upstream  # type: ignore[union-attr]
     driver.end(request, first, Outcome.CONNECT_FAILED)
-    assert driver.balancer.avoided(driver.now) == 1
+    assert avoided(driver.balancer, driver.now) == 1
     driver.balancer.fleet[first].spells.pop(SAFE)
-    assert driver.balancer.avoided(driver.now) == 0, "some class still uses it"
+    assert avoided(driver.balancer, driver.now) == 0, "some class still uses it"
     driver.balancer.fleet["h0"].gone = True
-    assert driver.balancer.avoided(driver.now + 60 * SECOND) == 1
+    assert avoided(driver.balancer, driver.now + 60 * SECOND) == 1
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -18,6 +18,7 @@
 from hypothesis import strategies as st
 
 from linetrack.decide import snapshot
+from linetrack.decide.handover import avoided
 from linetrack.decide.takeover import READY_WITHIN, SECOND, SILENT, Do, New, Old
 from linetrack.interface import Outcome
 from linetrack.rules import Balancer
@@ -203,7 +204,7 @@
         assert one.name == two.name and one.spells == two.spells and one.cold_sent == two.cold_sent
         assert balancer._sound(one, SAFE) == other._sound(two, SAFE)
         assert balancer._pace(one) == pytest.approx(other._pace(two))
-    assert other.avoided(driver.now) == balancer.avoided(driver.now)
+    assert avoided(other, driver.now) == avoided(balancer, driver.now)
     assert json.loads(json.dumps(snapshot.taken(other))) == values
 
 
