Where gone is advice only draining binds; one gone without it is on trial

One that is gone without having drained is kept, in a spell: trials that are answered bring it back, trials that fail to the longest spell end the record. At most 256 such records. A switch to settings where gone binds drops them.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -15,6 +15,7 @@
 from random import Random
 
 from linetrack import interface as i
+from linetrack.records import Attempt, Request
 
 # --- Tunables: ratios, and times with no counterpart in the settings -----------------------------
 SECOND = 1_000_000
@@ -42,6 +43,7 @@
 BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
+ABSENT_MOST = 256  # records kept of upstreams that the list calls gone, where that is advice
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
 COLD_TURNS = 4  # instances take turns of a span each where one send each fits in so many spans; else by lot
@@ -100,7 +102,7 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
+        "absent", "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
         "heard_at", "kind", "linked", "listed_start", "load_at", "loaded", "name", "others", "out", "own",
         "pace", "size", "spells", "tag", "used", "usual", "view_until", "zone",
     )  # fmt: skip
@@ -114,7 +116,7 @@
     def fresh(self, entry: i.Entry) -> None:
         """A new process: nothing learnt before holds."""
         self.zone, self.cell, self.listed_start = entry.zone, entry.cell, entry.started
-        self.gone = entry.health is not i.Health.UP
+        self.gone, self.absent = entry.health is not i.Health.UP, False
         self.kind, self.size = entry.kind, 1.0
         self.others = self.errors = 0.0
         self.faults = 0.0  # the share of errors again, over some forty answers
@@ -135,38 +137,6 @@
         return (((self.tag ^ mark) * 0x9E3779B1 & 0xFFFFFFFF) + 1) / 2**32
 
 
-class Attempt:
-    __slots__ = ("backlog", "copy", "dials", "expected", "klass", "number", "rest", "sent", "upstream")
-
-    def __init__(self, request: Request, upstream: Upstream, now: int) -> None:
-        self.number, self.klass = request.sends, request.arrival.klass
-        self.upstream, self.sent = upstream, now
-        self.backlog = self.expected = 0.0
-        self.copy = bool(request.out)
-        self.rest = now - upstream.used if upstream.used and not upstream.out else 0
-        self.dials = upstream.linked < now
-
-
-class Request:
-    __slots__ = (
-        "arrival", "at", "began", "first", "held", "klass", "lot", "net", "number", "out", "ran",
-        "room", "scale", "second", "sends", "size", "strain", "stretch", "tried", "until", "value", "within",
-    )  # fmt: skip
-
-    def __init__(self, arrival: i.Arrival, klass: i.RequestClass, now: int) -> None:
-        self.arrival, self.klass, self.number = arrival, klass, arrival.request
-        self.at, self.until = now, now + arrival.patience
-        self.first: Upstream | None = None
-        self.second: Upstream | None = None
-        self.out: dict[int, Attempt] = {}
-        self.ran: list[i.Ran] = []  # all that may have run
-        self.tried: list[Upstream] = []
-        self.sends, self.net = 0, 0.0
-        self.scale = self.value = self.size = self.strain = self.room = self.stretch = 1.0
-        self.within = self.lot = 1.0
-        self.held, self.began = False, 0
-
-
 class Ledger:
     """The further attempts that this instance made, and the requests that it took, in the stated window.
 
@@ -284,11 +254,15 @@
         self.ask_wait = ASK_AGAIN
         for entry in news.entries:
             upstream = self.fleet.get(entry.upstream)
+            bound = entry.health is i.Health.GONE and not self.s.gone_is_advice
             if upstream is None:
                 upstream = self.fleet[entry.upstream] = Upstream(entry)
             elif entry.started > upstream.listed_start:
                 upstream.fresh(entry)
-            upstream.gone = entry.health is not i.Health.UP
+            elif self.s.gone_is_advice:
+                # guards against one that drains, is left out and comes back: a later start alone is another
+                bound = upstream.gone
+            upstream.gone, upstream.absent = bound or entry.health is i.Health.DRAINING, False
             self.cold_until = max(self.cold_until, upstream.listed_start + self.s.warm_up)
             # a size that is no positive number tells nothing
             upstream.size = entry.size if 0 < entry.size < math.inf else 1.0
@@ -297,6 +271,8 @@
         over = {entry.upstream for entry in news.entries if entry.health is i.Health.GONE}
         if news.form is not i.ListForm.CHANGES:
             over |= self.fleet.keys() - {entry.upstream for entry in news.entries}
+        if self.s.gone_is_advice:
+            over = self._absent(over)
         for name in over:
             # guards against records of all that ever was; attempts still out keep theirs
             self.fleet.pop(name).gone = True
@@ -311,6 +287,17 @@
             wait = int(self.random.random() * spread)
             self.actions.append(i.SetTimer(wait, "ask") if wait else i.Watch(True))
 
+    def _absent(self, over: set[str]) -> set[str]:
+        """Those called gone where that is advice stay, on trial if they did not drain; whom to forget.
+
+        Guards against a list that is wrong about who is up: answers end the trial, failures the record."""
+        for name in [name for name in self.fleet if name in over]:
+            upstream = self.fleet[name] = self.fleet.pop(name)
+            upstream.absent = True
+            for klass in range(len(self.s.classes)):
+                upstream.spells.setdefault(klass, (SPELL, self.now + SPELL))
+        return set([name for name, upstream in self.fleet.items() if upstream.absent][:-ABSENT_MOST])
+
     def _listed(self, upstream: Upstream) -> None:
         """Part a size that moves with load, which would be counted twice: its kind's most, and the load."""
         listed = upstream.size
@@ -812,6 +799,8 @@
                 if self.now >= until:
                     length = min(SPELL_MAX, 2 * length) or SPELL
                 upstream.spells[each] = length, max(until, self.now + length)
+            if upstream.absent and not upstream.gone and upstream.spells[klass][0] >= SPELL_MAX:
+                self.fleet.pop(upstream.name, None)
 
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,20 @@
 from hypothesis import given, settings, strategies
 
 from linetrack.decide import handover
-from linetrack.interface import Arrival, Ended, Fail, Outcome, Refuse, Send, SetTimer, TimerDue
+from linetrack.interface import (
+    Arrival,
+    Ended,
+    Entry,
+    Fail,
+    FleetNews,
+    Health,
+    ListForm,
+    Outcome,
+    Refuse,
+    Send,
+    SetTimer,
+    TimerDue,
+)
 from linetrack.settings import SettingsError, read_settings
 from tests import helpers
 from tests.helpers import CLASSES, MS, SECOND, Driver, sends
@@ -133,6 +146,72 @@
                     assert within <= free + ratio * sum(at > driver.now - window for at in taken)
 
 
+def told(driver: Driver, health: Health, name: str = "h0", started: int = 0) -> None:
+    driver.feed(FleetNews(ListForm.CHANGES, (Entry(name, health=health, started=started),)))
+
+
+def share(driver: Driver, name: str, down: bool = False) -> int:
+    """Of 100 requests, how many went there; it answers, or is down."""
+    went = 0
+    for _ in range(100):
+        driver.now += 50 * MS
+        request, actions = driver.ask()
+        attempt = 0
+        while upstreams := sends(actions):
+            went += upstreams[0] == name
+            fails = down and upstreams[0] == name
+            how = Outcome.CONNECT_FAILED if fails else Outcome.OK
+            actions = driver.end(request, upstreams[0], how, 50 * MS, attempt)
+            attempt += 1
+    return went
+
+
+@pytest.mark.parametrize("left_out", [False, True])
+def test_gone_is_advice_where_the_settings_say_so(left_out: bool) -> None:
+    for advice in (False, True):
+        driver = Driver(gone_is_advice=advice)
+        if left_out:
+            driver.feed(FleetNews(ListForm.WHOLE, helpers.fleet()[1:]))
+        else:
+            told(driver, Health.GONE)
+        assert (share(driver, "h0") > 10) is advice
+
+
+def test_one_that_is_gone_indeed_costs_few_trials_and_is_forgotten() -> None:
+    driver = Driver(gone_is_advice=True)
+    told(driver, Health.GONE)
+    assert share(driver, "h0", down=True) + share(driver, "h0", down=True) + share(driver, "h0", True) <= 4
+    assert "h0" not in driver.balancer.fleet
+
+
+def test_one_that_drained_stays_barred_until_it_has_started_again() -> None:
+    driver = Driver(gone_is_advice=True, warm_up=0)
+    told(driver, Health.DRAINING)
+    told(driver, Health.GONE)
+    driver.feed(FleetNews(ListForm.WHOLE, helpers.fleet()[1:]))
+    assert not share(driver, "h0")
+    told(driver, Health.UP)
+    assert not share(driver, "h0"), "the same process"
+    told(driver, Health.UP, started=driver.now - 60 * SECOND)
+    assert share(driver, "h0") > 10
+
+
+def test_records_of_all_that_ever_was_are_bounded() -> None:
+    driver = Driver(gone_is_advice=True)
+    for number in range(600):
+        told(driver, Health.UP, f"u{number}")
+        told(driver, Health.DRAINING if number % 2 else Health.GONE, f"u{number}")
+        told(driver, Health.GONE, f"u{number}")
+    assert len(driver.balancer.fleet) <= 256 + len(helpers.fleet())
+
+
+def test_where_gone_binds_again_it_binds_from_the_switch_on() -> None:
+    driver = Driver(gone_is_advice=True)
+    told(driver, Health.GONE)
+    heir(driver)
+    assert not share(driver, "h0")
+
+
 @pytest.mark.parametrize(
     ("rules", "said"),
     [
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -24,7 +24,8 @@
     TimerDue,
     Watch,
 )
-from linetrack.rules import Balancer, Evidence, Request, Upstream
+from linetrack.records import Request
+from linetrack.rules import Balancer, Evidence, Upstream
 from tests.helpers import CELL, KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
 
