A class that alone is late everywhere is sent on trial only

Ruled out: fast errors (2 of 13 struck, 16 answers in 5 s), chance (other classes 95 % in time). Each class keeps its share of answers in time; one that has under 0.4 of the best class's share is admitted by lot, at least 4 %, and its times say nothing of upstreams, zones or lateness. Not meant: all classes late together. Harm: a recovered class comes back only as trials tell.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -44,6 +44,8 @@
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 ABSENT_MOST = 256  # records kept of upstreams that the list calls gone, where that is advice
+DRAG_STEP = 0.5  # weight of a new answer in a class's share of answers in time
+DRAGS = 0.4  # a class that has less than this of the best class's share drags by itself
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
 COLD_TURNS = 4  # instances take turns of a span each where one send each fits in so many spans; else by lot
@@ -215,6 +217,7 @@
         self.rest, self.rest_at = math.inf, 0  # the longest that a connection may have rested, and as of when
         self.heard_at = self.cold_until = 0
         self.late = Evidence()  # share of sent requests that were late
+        self.timely = [(1.0, 0)] * len(settings.classes)  # share of each one's answers in time, as of when
         self.usual_errors = 0.0  # share of errors among an upstream's answers: half of them have no more
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
@@ -395,7 +398,7 @@
                 expected /= self._warmth(upstream)
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
             for oldest in upstream.out.values() if upstream.out else ():
-                if oldest.sent >= upstream.answered:
+                if oldest.sent >= upstream.answered and self._alone(oldest.klass) >= DRAGS:
                     expected = max(expected, now - oldest.sent - 2 * oldest.expected + expected)
                     break
             outlook.append(expected)
@@ -543,6 +546,16 @@
         second = self._draw(rest, share)
         request.second = rest[second] if second is not None else None
 
+    def _alone(self, klass: int) -> float:
+        """A class's share of answers in time over that of the best class; near 0 if it alone is always late.
+
+        Guards against a class that drags wherever it goes: its requests take the places of all others, and
+        its times look like crowding.  One that is late with all others is not meant, as load is the cause."""
+        if all(share > DRAGS for share, _ in self.timely):
+            return 1.0
+        shares = [self._faded(share, at, 1.0, 4 * FORGET_SPEED) for share, at in self.timely]
+        return shares[klass] / max(shares)
+
     # --- Admission -------------------------------------------------------------------------------
     def _weigh(self, request: Request) -> None:
         """A request's worth and cost that are the same for every upstream, in worths of a mean request."""
@@ -632,7 +645,10 @@
         # guards against storms of repeats, each weighed against the whole fleet: a verdict holds a moment
         same = arrival.repeat and self.now - self.shed[arrival.klass] < SHED_HOLDS * len(self.fleet)
         admitted = not same and (not self.guide or self.guide.admits(self.now, arrival, worth))
-        if not admitted or not self._limits(request):
+        alone = self._alone(arrival.klass)
+        if alone < DRAGS and self.random.random() > max(0.04, (alone / DRAGS) ** 2):
+            self._end(request)  # but for a few that tell when it is over
+        elif not admitted or not self._limits(request):
             self._end(request)
         else:
             self._start(request)
@@ -766,6 +782,10 @@
         silence = outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED) and event.latency > attempt.expected
         # a silence that later sends overtook is an answer lost, and tells nothing of the upstream's pace
         if good or (silence and attempt.sent >= upstream.answered):
+            aim, share = self.s.classes[attempt.klass].aim, self.timely[attempt.klass][0]
+            if good or event.latency > aim:
+                share += DRAG_STEP * ((good and event.latency <= aim) - share)
+                self.timely[attempt.klass] = share, self.now
             self._timed(attempt, event.latency)
         if outcome is i.Outcome.CANCELLED:
             return
@@ -805,7 +825,7 @@
     def _timed(self, attempt: Attempt, latency: int) -> None:
         """Take an observed latency in, as the time a mean request costs for each one in hand."""
         upstream, size = attempt.upstream, self.sizes[attempt.klass]
-        if self._warmth(upstream) < 1:
+        if self._warmth(upstream) < 1 or self._alone(attempt.klass) < DRAGS:
             return  # how warm it truly was is not told, so nothing is learnt of pace or crowding
         zone, kind = self.zones[upstream.zone], self.kinds.setdefault(upstream.kind, Evidence())
         # guards against a clock too coarse to tell: an answer in no time still takes some
@@ -970,7 +990,7 @@
         klass = request.arrival.klass
         late = (request.began or self.now) - request.at > request.klass.aim
         good = answered and not late
-        if request.sends:
+        if request.sends and self._alone(klass) >= DRAGS:
             self.late.add(self.now, float(late))
         self.served[klass] += SMOOTH / 8 * (good - self.served[klass])
         for number, attempt in request.out.items():
