--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -466,7 +466,9 @@
         if klass not in upstream.spells:
             return True
         alone = all(attempt.klass != klass for attempt in upstream.out.values())
-        return upstream.spells[klass][1] <= self.now and request.klass.effect is not i.Effect.UNSAFE and alone
+        # guards against losing one for good: an unsafe request may go where another was served after the spell
+        tells = request.klass.effect is not i.Effect.UNSAFE or upstream.answered > upstream.spells[klass][1]
+        return upstream.spells[klass][1] <= self.now and tells and alone
 
     def _pulled(self, request: Request, upstreams: list[Upstream], odds: list[float]) -> list[float]:
         """Odds pulled by each upstream's places, none removed: for a key, alike at all, and the instance."""
