Cold upstreams cost less work; lateness fades with time, the calm pace learns at home

Taped by zone: 80 % of the traffic in one hall of four servers; slow ways (2.5 s an answer) had taught the fleet's calm pace, and lateness that rests on few answers faded in some 30 s. Ruled out: the ledger (38 of 500 refusals), silence (none open). The calm pace learns from own-zone answers, lateness fades as a plain exponential over 12 s. A send that the guard turns down is held, not forgotten.

--- a/linetrack/decide/handover.py
+++ b/linetrack/decide/handover.py
@@ -78,14 +78,16 @@
     new.ledger.limit(settings, old.now)
     new.zones, new.kinds, new.rates, new.work = old.zones, old.kinds, old.rates, old.work
     new.calm, new.answers, new.mean_pace = min(old.calm, new.calm_most), old.answers, old.mean_pace
-    new.watching, new.heard_at, old.cold_until = old.watching, old.heard_at, FOR_EVER
+    new.watching, new.heard_at, old.cold_until = old.watching, old.heard_at, FOR_EVER  # it hears no news
     new.rest, new.rest_at, new.refused, new.full = old.rest, old.rest_at, old.refused, old.full
     for upstream in list(old.fleet.values()):
         if upstream.absent and not settings.gone_is_advice:
             old.fleet.pop(upstream.name).gone = True  # what the list calls gone binds from here on
             old.up, old.kept = [], {}
         upstream.own, upstream.spells, upstream.load_at, upstream.others = {}, {}, 0, 0.0
-        new.cold_until = max(new.cold_until, upstream.listed_start + settings.warm_up)
+        upstream.part_until = 0
+        upstream.warm_at = upstream.listed_start + settings.warm_up if upstream.listed_start else 0
+        new.cold_until = max(new.cold_until, upstream.warm_at)
     return new
 
 
--- a/linetrack/records.py
+++ b/linetrack/records.py
@@ -12,9 +12,10 @@
     """The fleet view's record of one upstream: what discovery, reports and own attempts told."""
 
     __slots__ = (
-        "absent", "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults", "gone",
-        "heard_at", "kind", "linked", "listed_start", "load_at", "loaded", "name", "others", "out", "own",
-        "pace", "size", "spells", "tag", "used", "usual", "view_until", "zone",
+        "absent", "alone", "answered", "cell", "cold_sent", "credit", "credit_at", "errors", "faults",
+        "gone", "heard_at", "kind", "linked", "listed_start", "load_at", "loaded", "lots", "name", "others",
+        "out", "own", "pace", "part", "part_until", "size", "spells", "tag", "used", "usual", "view_until",
+        "warm_at", "warmth", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: i.Entry) -> None:
@@ -37,10 +38,13 @@
         self.own: dict[int, tuple[float, int]] = {}
         self.spells: dict[int, tuple[int, int]] = {}
         self.heard_at = self.load_at = 0
+        self.warm_at, self.warmth = 0, 1.0  # until when less than its capacity can be counted on; how much
         self.used = self.linked = 0  # when an attempt on it last ended; until when it has an own connection
         self.answered = 0  # when the latest of those sends was made that have an answer
         self.cold_sent: list[int] = []
-        self.credit, self.credit_at = 0.0, entry.started
+        # in sends: what it may have by lot now and in a span, and its part of the budget, as of a view
+        self.credit, self.credit_at, self.lots = 0.0, entry.started, 0.0
+        self.part, self.part_until = 0.0, 0
 
     def place(self, mark: int) -> float:
         """Its place for whatever has this mark, alike wherever it is asked: over 0, 1 at most."""
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -199,7 +199,8 @@
                 # guards against one that drains, is left out and comes back: a later start alone is another
                 bound = upstream.gone
             upstream.gone, upstream.absent = bound or entry.health is i.Health.DRAINING, False
-            self.cold_until = max(self.cold_until, upstream.listed_start + self.s.warm_up)
+            upstream.warm_at = upstream.listed_start + self.s.warm_up if upstream.listed_start else 0
+            self.cold_until = max(self.cold_until, upstream.warm_at)
             # a size that is no positive number tells nothing
             upstream.size = entry.size if 0 < entry.size < math.inf else 1.0
             if self.s.live_sizes:
@@ -295,7 +296,7 @@
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
-        if self.now >= self.cold_until or not upstream.listed_start or not self.s.warm_up:
+        if self.now >= upstream.warm_at:
             return 1.0
         age = max(0, self.now - upstream.listed_start) / self.s.warm_up
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
@@ -313,24 +314,22 @@
 
     def _outlook(self, upstreams: Iterable[Upstream]) -> list[float]:
         """Expected completion of a mean request sent now, at each; one loop, as it is most of the work."""
-        now, warm, crowds, outlook = self.now, self.now >= self.cold_until, self.crowds, []
+        now, crowds, outlook = self.now, self.crowds, []
         if not crowds:
             calm = math.exp(self.calm)
             crowds |= {n: calm * math.exp(zone.beside(now, 0.0)) for n, zone in self.zones.items()}
         for upstream in upstreams:
-            if warm and not upstream.out and now < upstream.view_until:
-                outlook.append(crowds[upstream.zone] * upstream.loaded)
-                continue
-            upstream.alone = math.exp(self._pace(upstream))
-            upstream.usual = math.exp(self.pooled[upstream.kind])
-            there = self._backlog(upstream) if upstream.out or upstream.load_at else 0.0
-            upstream.loaded = upstream.alone * (1 + there)
-            upstream.view_until = now + VIEW
+            out = upstream.out
+            if out or now >= upstream.view_until:
+                upstream.alone = math.exp(self._pace(upstream))
+                upstream.usual = math.exp(self.pooled[upstream.kind])
+                there = self._backlog(upstream) if out or upstream.load_at else 0.0
+                upstream.warmth = self._warmth(upstream)
+                upstream.loaded = upstream.alone * (1 + there) / upstream.warmth
+                upstream.view_until = now + VIEW
             expected = crowds[upstream.zone] * upstream.loaded
-            if not warm:
-                expected /= self._warmth(upstream)
             # guards against a hung upstream: the oldest silence is a lower bound on its latency
-            for oldest in upstream.out.values():
+            for oldest in out.values() if out else ():
                 if oldest.sent >= upstream.answered and self._alone(oldest.klass) >= DRAGS:
                     expected = max(expected, now - oldest.sent - 2 * oldest.expected + expected)
                     break
@@ -366,13 +365,13 @@
 
     def _odds(self, expected: list[float], sounds: list[float], upstreams: list[Upstream]) -> list[float]:
         """1 / penalty of each, per listed size; what the penalty is measured against is the same for all."""
-        warm, live, odds, calm = self.now >= self.cold_until, self.s.live_sizes, [], math.exp(self.calm)
+        live, odds, calm = self.s.live_sizes, [], math.exp(self.calm)
         for upstream, value, sound in zip(upstreams, expected, sounds, strict=True):
             # guards against a fast-failing upstream that looks idle: errors count as load
             share = upstream.size * sound**ERROR_WEIGHT if sound < 1 else upstream.size
-            if not warm:
-                share *= self._warmth(upstream) ** COLD_WEIGHT
-                value *= self._warmth(upstream)
+            if upstream.warmth < 1:
+                share *= upstream.warmth**COLD_WEIGHT
+                value *= upstream.warmth
             # guards against speed counted twice: a size beside the load a core stands for its kind's
             value /= calm * upstream.usual if live else calm
             odds.append(share * (value if value > 0.05 else 0.05) ** -SHARPNESS)
@@ -388,8 +387,10 @@
             up = [u for u in self.fleet.values() if not u.gone]
             self.up = [[u for u in up if (u.zone != self.s.zone) is part] for part in (False, True)]
         ready = self.up[away]
-        if limits != (None, None) or self.now < self.cold_until:
+        if limits != (None, None):
             ready = [u for u in ready if self._fits(request, limits, u)]
+        elif self.now < self.cold_until:
+            ready = [u for u in ready if self.now >= u.warm_at or self._cold_room(request, u)]
         if barred:
             ready = [u for u in ready if u not in barred]
         # never mark a whole zone unavailable: when all are in a spell, none is
@@ -451,7 +452,7 @@
         """Odds whose shares for thinly budgeted cold ones keep to their credit; the rest may be nobody's."""
         total, free, caps = sum(odds), 1.0, {}
         for at, upstream in enumerate(upstreams):
-            if self._thin(upstream):
+            if self.now < upstream.warm_at and self._thin(upstream):
                 caps[at] = min(odds[at] / total, max(0.0, upstream.credit))
                 upstream.credit -= caps[at]
                 free -= caps[at]
@@ -513,7 +514,9 @@
         request.value = self._class_worth(klass) * request.within
         request.lot = 0.5 + self.random.random()
         # guards against a jam taken for slow upstreams: lateness itself makes work dearer
-        request.strain = 1 + LATE_WEIGHT * max(0.0, self.late.beside(self.now, 0.0) - LATE_USUAL)
+        request.strain = 1 + LATE_WEIGHT * max(
+            0.0, self._faded(self.late.value, self.late.at, 0.0, FORGET_SPEED) - LATE_USUAL
+        )
         request.room = sum(self.s.classes[n].aim / scales[n] for n in classes) / len(classes)
         # once nothing was heard for a while, nothing is known to be full: guards against refusing for ever
         request.stretch = self._faded(1.0, self.heard_at, 0.0, FORGET_SPEED)
@@ -523,8 +526,7 @@
         left = request.klass.aim - (self.now - request.at)
         if left <= 0:
             return 0.0
-        late: float = (request.scale * request.stretch * expected / left) ** CHANCE
-        return sound / (1 + late)
+        return float(sound / (1 + (request.scale * request.stretch * expected / left) ** CHANCE))
 
     def _net(self, request: Request, weighed: Weighed) -> list[float]:
         """Worth likely earned at each less what the work costs others: where requests take `crowded` times
@@ -534,8 +536,7 @@
         pace = request.scale * request.stretch / left if left > 0 else math.inf
         load = request.lot * request.strain * request.size * CHANCE
         for upstream, value, sound in zip(*weighed[:3], strict=True):
-            warmth = self._warmth(upstream) if upstream.listed_start else 1.0
-            alone = calm * upstream.alone
+            warmth, alone = upstream.warmth, calm * upstream.alone
             if live:
                 # guards against an overrun that own answers show too late: what is listed counts in full here
                 full = alone * self.working * (1 + self._told(upstream)) / warmth
@@ -611,8 +612,8 @@
         elif request.net < 0:  # load shedding
             self.shed[request.arrival.klass] = self.now
             self._end(request)
-        else:
-            self._send(request, request.first)
+        elif not self._send(request, request.first):
+            self._hold(request)
 
     def _hold(self, request: Request) -> None:
         """No upstream may be sent to: look again shortly, for a share of the aim at most."""
@@ -786,7 +787,8 @@
         rest = took - scale - pace - self.calm
         self.answers += 1
         step = max(1 / self.answers, CALM_STEP * (1.0 if rest > 0 else CALM_FALL))
-        self.calm = min(self.calm + min(1.0, step) * rest, self.calm_most)
+        if upstream.zone == self.s.zone or not self.up or not self.up[0]:  # slow ways say nothing of work
+            self.calm = min(self.calm + min(1.0, step) * rest, self.calm_most)
         rest = took - scale - self.calm
         zone.add(self.now, rest - pace)
         kind.add(self.now, rest - crowd)
@@ -800,38 +802,37 @@
         self.work.add(self.now, math.exp(min(took - crowd - pace, self.calm + 3)))
 
     # --- Cold start ------------------------------------------------------------------------------
-    def _cold_part(self, upstream: Upstream) -> tuple[float, float]:
-        """Of the fall budget of one span, in sends: the whole tier's safe part, and this instance's."""
-        share = self._warmth(upstream)
-        if share >= 1 or not self.s.overload_for or not self.s.fall_multiple:
-            return math.inf, math.inf
-        kind = self.kinds.get(upstream.kind)
-        slower = math.exp(max(0.0, kind.beside(self.now, 0.0))) if kind else 1.0
-        cost = 1.5 * (self.work.value * slower or max(c.aim for c in self.s.classes))
-        # what warm ones of its kind are reported to serve, or at least one request at a time
-        rate = self.rates.get(upstream.kind)
-        bears = max(1 / cost, rate.beside(self.now, 0.0) if rate else 0.0)
-        whole = self.s.fall_multiple * share * COLD_SAFETY * self.s.overload_for * bears
-        return whole, whole / self.s.instances
+    def _cold_part(self, upstream: Upstream) -> float:
+        """This instance's part of the fall budget of one span, in sends; as of a view, when it was less."""
+        if self.now < upstream.part_until:
+            return upstream.part
+        upstream.part, upstream.part_until, share = math.inf, self.now + VIEW, self._warmth(upstream)
+        if share < 1 and self.s.overload_for and self.s.fall_multiple:
+            kind = self.kinds.get(upstream.kind)
+            slower = math.exp(max(0.0, kind.beside(self.now, 0.0))) if kind else 1.0
+            cost = 1.5 * (self.work.value * slower or max(c.aim for c in self.s.classes))
+            # what warm ones of its kind are reported to serve, or at least one request at a time
+            rate = self.rates.get(upstream.kind)
+            bears = max(1 / cost, rate.beside(self.now, 0.0) if rate else 0.0)
+            whole = self.s.fall_multiple * share * COLD_SAFETY * self.s.overload_for * bears
+            upstream.part = whole / self.s.instances
+            room = math.sqrt(COLD_SPREAD**2 + 4 * whole / COLD_SAFETY) - COLD_SPREAD
+            upstream.lots = (room / 2) ** 2 / self.s.instances
+        return upstream.part
 
     def _thin(self, upstream: Upstream) -> bool:
         """Whether the instance's part is too small for turns; if so, its credit is brought up.  Guards
         against started ones unused until warm: sends then fall by lot, at a mean whose chance still fits."""
-        whole, part = self._cold_part(upstream)
-        if part * COLD_TURNS >= 1:
+        if self._cold_part(upstream) * COLD_TURNS >= 1:
             return False
-        room = math.sqrt(COLD_SPREAD**2 + 4 * whole / COLD_SAFETY) - COLD_SPREAD
-        mean = (room / 2) ** 2 / self.s.instances
-        spans = max(0, self.now - upstream.credit_at) / self.s.overload_for
-        upstream.credit, upstream.credit_at = min(mean, upstream.credit + mean * spans), self.now
+        more = upstream.lots * max(0, self.now - upstream.credit_at) / self.s.overload_for
+        upstream.credit, upstream.credit_at = min(upstream.lots, upstream.credit + more), self.now
         return True
 
     def _cold_room(self, request: Request, upstream: Upstream) -> bool:
         """The fall budget, multiple x share x span of work, if all act alike: each counts its part.  Under
         one send that is one every k-th span, by number and the upstream's age, and where rare the lot's."""
-        if self._warmth(upstream) >= 1:
-            return True
-        part = self._cold_part(upstream)[1]
+        part = self._cold_part(upstream)
         if part * COLD_TURNS < 1:
             return upstream in (request.first, request.second) or not request.sends
         turn = max(0, self.now - upstream.listed_start) // self.s.overload_for
@@ -876,7 +877,7 @@
         if upstream.gone or (zone is not None and upstream.zone != zone):
             return False
         here = cell is None or upstream.cell == cell
-        return here and (not upstream.listed_start or self._cold_room(request, upstream))
+        return here and (self.now >= upstream.warm_at or self._cold_room(request, upstream))
 
     def _send(self, request: Request, upstream: Upstream) -> bool:
         limits = self._limits(request) if request.number in self.requests else None
