A replaced process hands its count of further attempts on, and makes none itself

Where the settings limit further attempts, the old process tells its counts with what it learnt and makes no more; the new one goes on with them, or waits a window where nothing was told, the window was shorter, or the other comes back. The operators' file can turn the limit on (retries.further_*, upstreams.gone_is_advice), off until it does.

--- a/linetrack/config/operators.py
+++ b/linetrack/config/operators.py
@@ -45,6 +45,10 @@
     cancel: bool = True
     advice: bool = True  # Retry-After with refusals
     max_advice_ms: NotNegative = 1000.0
+    # attempts beyond first ones in any window: the free ones + share x requests taken in it; 0: no limit
+    further_window_ms: NotNegative = 0.0
+    further_free: NotNegative = 0.0
+    further_share: NotNegative = 0.0
 
 
 class Storms(Part, frozen=True, kw_only=True):
@@ -65,6 +69,7 @@
     fall_multiple: NotNegative = 0.0
     overload_ms: NotNegative = 0.0
     drain_grace_ms: NotNegative = 1000.0
+    gone_is_advice: bool = False  # only what was listed as draining may get nothing new
     price_cross_zone: NotNegative = 0.0
 
 
@@ -127,6 +132,13 @@
     def us(ms: float) -> int:
         return round(ms * 1000)
 
+    limit = {
+        "freeResends": may.further_free,
+        "furtherRatio": may.further_share,
+        "extraWindowUs": us(may.further_window_ms),
+    }
+    if not any(limit.values()):
+        limit = {}
     settings = {
         "classes": [
             {
@@ -154,6 +166,8 @@
             "warmUpUs": us(up.warm_up_ms),
             "fallMultiple": up.fall_multiple,
             "overloadForUs": us(up.overload_ms),
+            "goneIsAdvice": up.gone_is_advice,
+            **limit,
         },
         "stats": {"how": "inline" if up.report_fields else "off", "fields": list(up.report_fields)},
         "allowed": {
--- a/linetrack/decide/handover.py
+++ b/linetrack/decide/handover.py
@@ -51,8 +51,21 @@
         return actions
 
     def learnt(self) -> dict[str, Any]:
-        """What the newest instance has learnt, for another process; nothing where the policy is not ours."""
-        return snapshot.taken(self.policy) if isinstance(self.policy, Balancer) else {}
+        """What the newest instance has learnt, for another process; nothing where the policy is not ours.
+
+        Where further attempts are limited, they are the other process's from here on: two that count apart
+        would together make more in a window than one may.
+        """
+        if not isinstance(self.policy, Balancer):
+            return {}
+        told = snapshot.taken(self.policy)
+        self.policy.ledger.closed = FOR_EVER
+        return told
+
+    def alone(self, now: int) -> None:
+        """Another process made further attempts untold: none until they are out of the window."""
+        if isinstance(self.policy, Balancer):
+            self.policy.ledger.closed = now + self.policy.s.further_window
 
     def restore(self, values: Mapping[str, Any], now: int, same_classes: bool, same_places: bool) -> bool:
         """Whether what another process learnt was taken over."""
--- a/linetrack/decide/snapshot.py
+++ b/linetrack/decide/snapshot.py
@@ -1,12 +1,13 @@
 """What the policy has learnt, as plain values that another process of the same version can take over.
 
 Owns which figures go over, and their check: values that make no sense change nothing.  Must never decide, nor
-carry what only holds in one process: requests, attempts, connections, chance, or room for further attempts.
+carry what only holds in one process: requests, attempts, connections, chance, or a budget saved up.
 """
 
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Mapping
 from typing import Any
 
@@ -21,6 +22,7 @@
 OF_PLACES = ("zones", "kinds", "rates")  # evidence by number
 LEVELS = ("others", "nominal")  # figures by number
 OF_CLASSES = ("asked", "served", "shed", "patience")
+LEDGER = ("further", "taken")  # times, in order, as of the window that limits further attempts
 UPSTREAM = ("others", "errors", "faults", "heard_at", "load_at", "answered", "credit", "credit_at")
 
 
@@ -33,6 +35,9 @@
         **{name: {n: _told(e) for n, e in getattr(policy, name).items()} for name in OF_PLACES},
         "sizes": [_told(evidence) for evidence in policy.sizes],
         "mean_worth": policy.mean_worth,
+        "further": list(policy.ledger.further),
+        "taken": list(policy.ledger.taken),
+        "window": policy.s.further_window,
         "upstreams": {name: _upstream(upstream) for name, upstream in policy.fleet.items()},
     }
 
@@ -60,6 +65,10 @@
                 return False
             sets.append((policy, "sizes", [_evidence(value, now) for value in values["sizes"]]))
             sets.append((policy, "mean_worth", _figure(values["mean_worth"], now)))
+        if policy.s.further_window > int(values["window"]):  # more was sent in it than was kept count of
+            sets.append((policy.ledger, "closed", now + policy.s.further_window))
+        for name in LEDGER:
+            sets.append((policy.ledger, name, deque(sorted(min(now, int(at)) for at in values[name]))))
         places: dict[str, dict[int, Any]] = {}
         if same_places:
             for name in OF_PLACES:
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -97,6 +97,7 @@
         self.leave, self.again = Event(), Event()
         self.budget = budget
         self.giving: Giving | None = None
+        self.told_all = False  # whether the process whose place this one takes has told what it learnt
         self.handed: Do | None = None  # what became of the end: to a successor, or without one
         self.accepting: gevent.Greenlet | None = None
 
@@ -218,6 +219,8 @@
         """What only the program can do of a replacement."""
         match do:
             case Do.ACCEPT:
+                if not self.told_all:
+                    self.handover.alone(clock())
                 self._prepare_to_give()
                 self._be_found()
                 self._accept()
@@ -226,6 +229,7 @@
             case Do.HAND_ON:
                 self._hand_on()
             case Do.KEEP:
+                self.handover.alone(clock())
                 self.clients.passes = None
                 self._accept()
         if do in (Do.HAND_ON, Do.KEEP, Do.LEAVE):
@@ -273,7 +277,7 @@
                 self.clients.lately[0].update(values["ids"])
                 same = tuple(values["classes"]) == self.config.class_names
                 places = [list(self.config.zone_names), list(self.config.kind_names)] == values["places"]
-                taken = self.handover.restore(values["learnt"], clock(), same, places)
+                taken = self.told_all = self.handover.restore(values["learnt"], clock(), same, places)
                 log.info("takeover_told", learnt=taken, ids=len(values["ids"]))
 
     def _reload(self) -> None:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -42,6 +42,18 @@
     assert config.settings.classes[1].effect is i.Effect.KEYED and config.settings.cold_from == 0.2
 
 
+def test_limits_on_further_attempts_are_off_until_the_file_says_them(tmp_path: Path) -> None:
+    assert not config_of(operators.platform(operators.read(SAMPLE)), {}).settings.further_window
+    path = tmp_path / "f.toml"
+    keys = "max_attempts = 3\nfurther_window_ms = 2000\nfurther_free = 2\nfurther_share = 0.1"
+    path.write_text(SAMPLE.read_text().replace("max_attempts = 3", keys, 1))
+    told = config_of(operators.platform(operators.read(path)), {}).settings
+    assert (told.further_window, told.further_free, told.further_ratio) == (2_000_000, 2.0, 0.1)
+    path.write_text(SAMPLE.read_text().replace("max_attempts = 3", "max_attempts = 3\nfurther_free = 2", 1))
+    result = CliRunner().invoke(cli, ["config", "check", str(path)])
+    assert result.exit_code == 2 and "extraWindowUs" in result.stderr
+
+
 FAULTY = [
     (
         "max_attempts = 3",
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import pytest
@@ -107,6 +108,33 @@
     assert unreachable(driver, 1) == 2
 
 
+def test_a_replaced_process_goes_on_counting_and_the_old_one_stops() -> None:
+    old, new = Driver(**LIMIT), Driver(**LIMIT)
+    assert unreachable(old, 10) == 3
+    new.now = old.now
+    first, second = handover.Handover(old.balancer), handover.Handover(new.balancer)
+    values = json.loads(json.dumps(first.learnt()))
+    assert second.restore(values, new.now, True, True)
+    assert unreachable(old, 30) == 0, "what is still open there is answered without further attempts"
+    assert unreachable(new, 9) == 0 and unreachable(new, 1) == 1, "20 requests in all allow four"
+    first.alone(old.now)  # the new one has ended: what it made is not known here
+    assert unreachable(old, 30) == 0
+    old.now += WINDOW
+    assert unreachable(old, 1) == 2
+
+
+def test_a_process_that_is_told_nothing_waits_for_a_window() -> None:
+    driver, taking = Driver(**LIMIT), Driver(max_attempts=6)
+    told = handover.Handover(taking.balancer).learnt()
+    one = handover.Handover(driver.balancer)
+    assert one.restore(told, driver.now, True, True)
+    assert unreachable(driver, 10) == 0, "the other had no limit and kept no count"
+    driver.now += WINDOW
+    assert unreachable(driver, 1) == 2
+    one.alone(driver.now)
+    assert unreachable(driver, 10) == 0
+
+
 @settings(max_examples=150, deadline=None, derandomize=True, database=None)
 @given(data=strategies.data())
 def test_any_order_of_events_keeps_the_limit(data: strategies.DataObject) -> None:
