--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -523,7 +523,7 @@
 
     def _chance(self, request: Request, expected: float, sound: float) -> float:
         """Chance that an attempt sent there now is answered without error within the aim."""
-        left = request.klass.aim - (self.now - request.at)
+        left = min(request.klass.aim + request.at, request.until) - self.now
         if left <= 0:
             return 0.0
         return float(sound / (1 + (request.scale * request.stretch * expected / left) ** CHANCE))
@@ -532,7 +532,7 @@
         """Worth likely earned at each less what the work costs others: where requests take `crowded` times
         as long as alone, one more delays them by its completion x (crowded - 1) in all, times the slope."""
         calm, live, nets = math.exp(self.calm), self.s.live_sizes, []
-        left = request.klass.aim - (self.now - request.at)
+        left = min(request.klass.aim + request.at, request.until) - self.now
         pace = request.scale * request.stretch / left if left > 0 else math.inf
         load = request.lot * request.strain * request.size * CHANCE
         for upstream, value, sound in zip(*weighed[:3], strict=True):
