--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -42,6 +42,7 @@
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
 ABSENT_MOST = 256  # records kept of upstreams that the list calls gone, where that is advice
 DRAG_STEP = 0.5  # weight of a new answer in a class's share of answers in time
+DRAG_APART = SECOND // 4  # late answers of a class that come closer together count as one
 DRAG_TRIALS = 0.04  # share of such a class's requests that is sent at least
 DRAGS = 0.4  # a class that has less than this of the best class's share drags by itself
 BROKEN_STEP = 0.5  # weight of a broken or missing connection in the share of errors: there is no usual share
@@ -733,8 +734,9 @@
         silence = outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED) and event.latency > attempt.expected
         # a silence that later sends overtook is an answer lost, and tells nothing of the upstream's pace
         if good or (silence and attempt.sent >= upstream.answered):
-            aim, share = self.s.classes[attempt.klass].aim, self.timely[attempt.klass][0]
-            if good or event.latency > aim:
+            aim, (share, at) = self.s.classes[attempt.klass].aim, self.timely[attempt.klass]
+            # guards against one moment's trouble, as after an own standstill, taken for many answers
+            if (good and event.latency <= aim) or (event.latency > aim and self.now - at > DRAG_APART):
                 share += DRAG_STEP * ((good and event.latency <= aim) - share)
                 self.timely[attempt.klass] = share, self.now
             self._timed(attempt, event.latency)
