--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -292,8 +292,7 @@
         """Requests at it beyond own ones, as told while that is fresh, then as the mean of its zone."""
         if not upstream.load_at:
             return 0.0
-        mean = self.others[upstream.zone]
-        return mean + (upstream.others - mean) * math.exp((upstream.load_at - self.now) / FORGET_LOAD)
+        return self._faded(upstream.others, upstream.load_at, self.others[upstream.zone], FORGET_LOAD)
 
     def _warmth(self, upstream: Upstream) -> float:
         """The share of its capacity that a started upstream can be counted on to have."""
@@ -418,12 +417,12 @@
     def _open_to(self, request: Request, upstream: Upstream) -> bool:
         """Out of its spell; the first sends after one are trials with a repeatable request."""
         klass = request.arrival.klass
-        if klass not in upstream.spells:
-            return True
-        alone = all(attempt.klass != klass for attempt in upstream.out.values())
+        until = upstream.spells.get(klass, (0, 0))[1]
+        if not until or until > self.now:
+            return not until
         # guards against losing one for good: unsafe ones go where others were served since the spell
-        tells = request.klass.effect is not i.Effect.UNSAFE or upstream.answered > upstream.spells[klass][1]
-        return upstream.spells[klass][1] <= self.now and tells and alone
+        tells = request.klass.effect is not i.Effect.UNSAFE or upstream.answered > until
+        return tells and all(attempt.klass != klass for attempt in upstream.out.values())
 
     def _pulled(self, request: Request, upstreams: list[Upstream], odds: list[float]) -> list[float]:
         """Odds pulled by each upstream's places, none removed: for a key, alike at all, and the instance."""
