--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -45,7 +45,6 @@
 DRAG_APART = SECOND // 4  # late answers of a class that come closer together count as one
 DRAG_TRIALS = 0.04  # share of such a class's requests that is sent at least
 DRAGS = 0.4  # a class that has less than this of the best class's share drags by itself
-BROKEN_STEP = 0.5  # weight of a broken or missing connection in the share of errors: there is no usual share
 SICK = 0.3  # error share that starts a spell; it ends for good once the share is under a third of this
 COLD_SAFETY = 0.5  # share of the fall budget used: work is random, capacities are guessed
 COLD_TURNS = 4  # instances take turns of a span each where one send each fits in so many spans; else by lot
@@ -749,10 +748,10 @@
         if outcome is not i.Outcome.TIMEOUT:
             upstream.heard_at = self.heard_at = self.now
         failed = not good and outcome is not i.Outcome.FULL
-        klass, step = attempt.klass, BROKEN_STEP if broken else SMOOTH
+        klass = attempt.klass
         own = upstream.own.get(klass, (upstream.errors, 0))[0]
-        upstream.own[klass] = own + step * (failed - own), self.now
-        upstream.errors += step * (failed - upstream.errors)
+        upstream.own[klass] = own + SMOOTH * (failed - own), self.now
+        upstream.errors += SMOOTH * (failed - upstream.errors)
         upstream.faults += SMOOTH / 8 * (failed - upstream.faults)
         if failed:
             shares = sorted([u.faults for u in self.fleet.values()])
