--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -787,8 +787,7 @@
         rest = took - scale - pace - self.calm
         self.answers += 1
         step = max(1 / self.answers, CALM_STEP * (1.0 if rest > 0 else CALM_FALL))
-        if upstream.zone == self.s.zone or not self.up or not self.up[0]:  # slow ways say nothing of work
-            self.calm = min(self.calm + min(1.0, step) * rest, self.calm_most)
+        self.calm = min(self.calm + min(1.0, step) * rest, self.calm_most)
         rest = took - scale - self.calm
         zone.add(self.now, rest - pace)
         kind.add(self.now, rest - crowd)
