What is open at a switch sees drains that its heir was told of

Read again: the list of who is up is kept since this change, and the old instance of a settings switch, which hears no news, went by its own. Its next attempt could choose one that had drained, was turned down by the guard and gave the request up; no rule was at risk. The shortcut while something is cold, a variation of the guard's own check, goes out for the check itself (_fits), which the old instance always takes.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -386,10 +386,8 @@
             up = [u for u in self.fleet.values() if not u.gone]
             self.up = [[u for u in up if (u.zone != self.s.zone) is part] for part in (False, True)]
         ready = self.up[away]
-        if limits != (None, None):
+        if limits != (None, None) or self.now < self.cold_until:
             ready = [u for u in ready if self._fits(request, limits, u)]
-        elif self.now < self.cold_until:
-            ready = [u for u in ready if self.now >= u.warm_at or self._cold_room(request, u)]
         if barred:
             ready = [u for u in ready if u not in barred]
         # never mark a whole zone unavailable: when all are in a spell, none is
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -266,3 +266,16 @@
     read = read_settings({"classes": [{"deadlineUs": 1}], "rules": told})
     assert (read.further_free, read.further_ratio, read.further_window) == (3.0, 0.25, 5000)
     assert read.gone_is_advice
+
+
+def test_what_is_open_at_a_switch_sees_drains_that_its_heir_was_told_of() -> None:
+    """The old instance kept its own list of who is up: its next attempt chose one that drained, and gave up."""
+    driver = Driver(warm_up=0)
+    request, actions = driver.ask()
+    first, old = sends(actions)[0], driver.balancer
+    heir(driver, warm_up=0)
+    left = next(name for name in old.fleet if name != first)
+    driver.feed(FleetNews(ListForm.WHOLE, tuple(e for e in helpers.fleet() if e.upstream in (first, left))))
+    told(driver, Health.DRAINING, first)
+    ended = Ended(request, 0, first, Outcome.CONNECT_FAILED, MS)
+    assert sends(old.handle(driver.now, ended)) == [left]
