--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -275,7 +275,8 @@
     first, old = sends(actions)[0], driver.balancer
     heir(driver, warm_up=0)
     left = next(name for name in old.fleet if name != first)
-    driver.feed(FleetNews(ListForm.WHOLE, tuple(e for e in helpers.fleet() if e.upstream in (first, left))))
+    listed = tuple(entry for entry in helpers.fleet() if entry.upstream in (first, left))
+    driver.feed(FleetNews(ListForm.WHOLE, listed))
     told(driver, Health.DRAINING, first)
     ended = Ended(request, 0, first, Outcome.CONNECT_FAILED, MS)
     assert sends(old.handle(driver.now, ended)) == [left]
