--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -269,7 +269,7 @@
 
 
 def test_what_is_open_at_a_switch_sees_drains_that_its_heir_was_told_of() -> None:
-    """The old instance kept its own list of who is up: its next attempt chose one that drained, and gave up."""
+    """The old instance kept a list of its own: its next attempt chose one that drained, and gave up."""
     driver = Driver(warm_up=0)
     request, actions = driver.ask()
     first, old = sends(actions)[0], driver.balancer
