Tests read answers that come at once one by one: a reader kept the next one's bytes

Shown by two answers written to a socket pair at once: the second read timed out; the program was not at fault. The reader is unbuffered now and reads a chunked body's trailer to its end, which the new test also found left behind.

--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -41,7 +41,15 @@
 
 def read_answer(sock: socket.socket, bodiless: bool = False) -> tuple[bytes, bytes]:
     """Head and body of one answer, by whichever framing it has; an AssertionError where it is cut short."""
-    file = sock.makefile("rb")
+    # guards against bytes of the next answer in a buffer that ends with this one's reading
+    file = sock.makefile("rb", buffering=0)
+
+    def exactly(size: int) -> bytes:
+        got = bytearray()
+        while len(got) < size and (more := file.read(size - len(got))):
+            got += more
+        return bytes(got)
+
     lines = []
     while (line := file.readline()) not in (b"\r\n", b""):
         lines.append(line)
@@ -49,7 +57,7 @@
     if bodiless:
         return top, b""
     if found := re.search(rb"content-length: (\d+)", top):
-        body = file.read(int(found[1]))
+        body = exactly(int(found[1]))
         assert len(body) == int(found[1]), "cut short of its length"
         return top, body
     if b"chunked" not in top:
@@ -57,8 +65,10 @@
     body = b""
     while size := int(file.readline() or b"-1", 16):
         assert size > 0, "cut short of its last chunk"
-        body += file.read(size)
+        body += exactly(size)
         file.readline()
+    while file.readline() not in (b"\r\n", b""):
+        pass  # a trailer
     return top, body
 
 
@@ -198,6 +208,14 @@
             assert read_answer(wire.sock)[1] == b"/look/k"
 
 
+def test_answers_that_come_at_once_are_read_one_by_one() -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(answer(b"one") + chunked(b"two") + answer(b"three"))
+        ours.settimeout(5)
+        assert [read_answer(ours)[1] for _ in range(3)] == [b"one", b"two", b"three"]
+
+
 # --- Requests ------------------------------------------------------------------------------------------
 
 
