A place in a zone whose queues are full costs 0.3 of a mean request, by size

It also covers connections that are full at many; it does harm where a zone turns few away and its neighbours are dear, by at most 0.3 of a mean request.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -62,6 +62,7 @@
 LISTED_MOST = 2.0  # what is listed may at most make a send look so many times as crowded as own answers do
 CHANCE = 2.5  # steepness of the chance to make the aim: 1 / (1 + (expected / aim) ** this)
 SHED_HOLDS = 6_000  # after one of a class was shed its repeats are, so long for each upstream to be weighed
+FULL_COST = 0.3  # worth of a mean request's place in a zone whose queues are all full
 HOLD_STEP = 20_000  # how often a request held for want of a ready upstream looks again
 HOLD_SHARE = 0.25  # held at most this share of its aim, then answered
 ASK_PACE = 10_000  # time between first calls to discovery, over all instances that start together
@@ -547,6 +548,8 @@
                 late = min(1.0, request.stretch * value / request.room) ** CHANCE
                 # guards against all instances turning all away, and then nothing, on late news: graded by lot
                 net -= load * late / (1 + late) ** 2 * (crowded - 1)
+            # guards against full queues that turn all classes away alike: a place taken is one less for others
+            net -= FULL_COST * request.lot * request.size * (1.0 - self.places[upstream.zone])
             nets.append(net)
         return nets
 
