--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -350,15 +350,16 @@
             sound = places[upstream.zone]
             if dials < sound and upstream.linked < now:
                 sound = dials
-            share = upstream.errors
-            if share:
-                if klass in upstream.own:
-                    share = self._faded(*upstream.own[klass], share, FORGET_SPEED)
-                if share > chance:
-                    sound *= 1 - min(0.9, share - chance)
+            if upstream.errors and (share := self._failing(upstream, klass)) > chance:
+                sound *= 1 - min(0.9, share - chance)
             sounds.append(sound)
         return sounds
 
+    def _failing(self, upstream: Upstream, klass: int) -> float:
+        """Its share of errors for a class: the class's own while that is fresh, then that of all."""
+        own = upstream.own.get(klass)
+        return self._faded(*own, upstream.errors, FORGET_SPEED) if own else upstream.errors
+
     def _scale(self, klass: int) -> float:
         """Time of the class's mean request over the mean of all."""
         return math.exp(self.sizes[klass].beside(self.now, 0.0))
@@ -757,7 +758,8 @@
         if failed:
             shares = sorted([u.faults for u in self.fleet.values()])
             self.usual_errors = shares[(len(shares) - 1) // 2] if shares else 0.0
-        sick = 1 - self._sounds((upstream,), klass)[0]
+        # an upstream's own errors: a full zone must not keep its spells from ending
+        sick = self._failing(upstream, klass) - math.sqrt(self.usual_errors)
         if good:
             # guards against a flaky upstream let in by one lucky answer: the share must fall first
             if sick < SICK / 3:
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -64,6 +64,17 @@
     assert homes < 10
 
 
+def test_a_good_answer_ends_a_spell_also_in_a_full_zone() -> None:
+    # guards against spells that double for ever, as the zone's full queues passed for the upstream's own errors
+    driver = Driver(entries=fleet(4, 0), max_attempts=1)
+    for _ in range(6):
+        driver.finish(lambda u: (Outcome.FULL, MS))
+    driver.now += 2 * SECOND
+    assert driver.balancer.full[0].value > 0.5
+    there = driver.serve()
+    assert not driver.balancer.fleet[there].spells
+
+
 def test_limited_further_attempts_go_where_something_was_served_lately() -> None:
     driver = Driver(entries=fleet(12, 0), further_window=SECOND, further_free=9.0, max_attempts=2)
     served = {driver.serve() for _ in range(4)}
