A class drags alone only while another class's latest answer was in time

Found by a test that stood on two answers: with both classes asked at 900 ms for two minutes each, one got a share of 0.06 and one of 0.25, and 'drags' (a share halves with each late answer, and a class never asked passed for perfect), so up to 96 % of it would be refused under plain overload. Now one class heard within 12 s must have its latest answer in time. Test seen to fail on the old code. It covers any overload that takes all classes; it does harm where the one sound class is asked less than every 12 s: then a dragging class is sent on.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -504,11 +504,12 @@
         """A class's share of answers in time over that of the best class; near 0 if it alone is always late.
 
         Guards against a class that drags wherever it goes: its requests take the places of others, and its
-        times look like crowding.  One that is late with all others is not meant: load is the cause."""
+        times look like crowding.  While no other's latest answer was in time, load is the cause."""
         if not self.dragging:
             return 1.0
         shares = [self._faded(share, at, 1.0, 4 * FORGET_SPEED) for share, at in self.timely]
-        return shares[klass] / max(shares)
+        best = max([share for share, at in self.timely if at > self.now - FORGET_SPEED], default=0.0)
+        return shares[klass] / max(shares) if best > DRAG_STEP else 1.0
 
     # --- Admission -------------------------------------------------------------------------------
     def _weigh(self, request: Request) -> None:
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -35,6 +35,18 @@
     assert admitted(driver, KEYED_ALL, 50 * MS, 20) == 20, "and it comes back by its trials"
 
 
+def test_classes_that_are_late_together_are_not_meant() -> None:
+    driver = Driver()
+    late = 0
+    for klass in (SAFE, KEYED_ALL) * 20:
+        request, actions = driver.ask(klass, after=6 * SECOND)
+        if upstreams := sends(actions):
+            late += 1
+            driver.end(request, upstreams[0], latency=900 * MS)
+    assert late > 20
+    assert driver.balancer._alone(SAFE) > 0.5 and driver.balancer._alone(KEYED_ALL) > 0.5
+
+
 def test_one_that_was_full_once_is_not_lost_to_unsafe_requests() -> None:
     """Only an own answer ended a class's spell, and unsafe requests are no trials."""
     driver = Driver(entries=fleet(3, 0))
