A zone out of reach is left to trials; dead upstreams are no usual errors; full zones cost

Lines at fault: _ready (all in a spell: none is, reachable or not), _learn (a refused dial counted among usual errors, so that with over half of the fleet dead dead ones passed for sound), _useful (no price on a place in a full zone). It does harm where a zone's only way back is a dial that no trial makes for up to 8 s; while no other zone can be reached all are tried. Three tests, each seen to fail before.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -186,8 +186,7 @@
                 self.actions.append(i.SetTimer(int(self.ask_wait * (0.5 + self.random.random())), "ask"))
                 self.ask_wait = min(2 * self.ask_wait, max(ASK_AGAIN, self.s.ask_every // 2))
             return
-        self.ask_wait, self.up = ASK_AGAIN, []
-        self.kept.clear()
+        self.ask_wait, self.up, self.kept = ASK_AGAIN, [], {}
         for entry in news.entries:
             upstream = self.fleet.get(entry.upstream)
             bound = entry.health is i.Health.GONE and not self.s.gone_is_advice
@@ -392,8 +391,10 @@
             ready = [u for u in ready if self._fits(request, limits, u)]
         if barred:
             ready = [u for u in ready if u not in barred]
-        # never mark a whole zone unavailable: when all are in a spell, none is
-        return [u for u in ready if not u.spells or self._open_to(request, u)] or ready
+        open_to = [u for u in ready if not u.spells or self._open_to(request, u)]
+        # never mark a whole zone unavailable: who could be reached stays, else all if no other zone can be
+        open_to = open_to or [u for u in ready if u.linked >= self.now]
+        return open_to or ([] if any(u.linked >= self.now for u in self.up[not away]) else ready)
 
     def _moved(self, upstream: Upstream, alone: bool) -> None:
         """What is kept of the other zones sees what was sent or heard: of this one alone, or anew of all."""
@@ -413,8 +414,7 @@
         until, kept = self.kept.get(request.arrival.klass, (0, None))
         if easy and kept and self.now < until:
             return kept
-        ready = self._ready(request, away)
-        kept = self._survey(ready, request.arrival.klass)
+        kept = self._survey(self._ready(request, away), request.arrival.klass)
         if easy:
             self.kept[request.arrival.klass] = self.now + VIEW, kept
         return kept
@@ -679,6 +679,8 @@
         worth *= 1 / (1 + (request.stretch * took / left) ** CHANCE) if left > 0 else 0.0
         if took < request.until - self.now:
             worth = max(worth, request.klass.late_worth)
+        # guards against attempts after attempts into a fleet that is full: each takes the place of another's
+        price += FULL_COST * request.lot * request.scale * (1.0 - self._told_of(target.zone)[1])
         return worth * request.value > price and worth > 0.05
 
     def _ended(self, event: i.Ended) -> None:
@@ -710,8 +712,8 @@
 
     # --- Health ------------------------------------------------------------------------------------
     def _learn(self, attempt: Attempt, event: i.Ended) -> None:
-        upstream, outcome = attempt.upstream, event.outcome
-        upstream.view_until = 0
+        upstream, outcome, klass = attempt.upstream, event.outcome, attempt.klass
+        upstream.view_until, aim = 0, self.s.classes[klass].aim
         if self.retired:
             return
         if event.report:
@@ -729,33 +731,31 @@
             return
         self.full[upstream.zone].add(self.now, float(outcome is i.Outcome.FULL))
         good = outcome is i.Outcome.OK
-        if good:
-            upstream.answered = max(upstream.answered, attempt.sent)
+        upstream.answered = max(upstream.answered, good * attempt.sent)
+        in_time = good and event.latency <= aim
         silence = outcome in (i.Outcome.TIMEOUT, i.Outcome.CANCELLED) and event.latency > attempt.expected
         # a silence that later sends overtook is an answer lost, and tells nothing of the upstream's pace
         if good or (silence and attempt.sent >= upstream.answered):
-            aim, (share, at) = self.s.classes[attempt.klass].aim, self.timely[attempt.klass]
+            share, at = self.timely[klass]
             # guards against one moment's trouble, as after an own standstill, taken for many answers
-            if (good and event.latency <= aim) or (event.latency > aim and self.now - at > DRAG_APART):
-                share += DRAG_STEP * ((good and event.latency <= aim) - share)
-                self.timely[attempt.klass] = share, self.now
+            if in_time or (event.latency > aim and self.now - at > DRAG_APART):
+                self.timely[klass] = share + DRAG_STEP * (in_time - share), self.now
                 self.dragging = min(self.timely)[0] <= DRAGS
             self._timed(attempt, event.latency)
         if outcome is i.Outcome.CANCELLED:
             return
         if self.guide:
-            spent = event.latency / self.s.classes[attempt.klass].aim
-            self.guide.ended(self.now, good and spent <= 1, good and spent <= 0.5)
+            self.guide.ended(self.now, in_time, good and 2 * event.latency <= aim)
         if outcome is i.Outcome.TIMEOUT and upstream.heard_at > attempt.sent:
             return  # slow, not silent: the latency counts it; overload must not look like failure
         if outcome is not i.Outcome.TIMEOUT:
             upstream.heard_at = self.heard_at = self.now
         failed = not good and outcome is not i.Outcome.FULL
-        klass = attempt.klass
         own = upstream.own.get(klass, (upstream.errors, 0))[0]
         upstream.own[klass] = own + SMOOTH * (failed - own), self.now
         upstream.errors += SMOOTH * (failed - upstream.errors)
-        upstream.faults += SMOOTH / 8 * (failed - upstream.faults)
+        # guards against half of the fleet out of reach or silent, taken for usual: only spoilt answers are
+        upstream.faults += SMOOTH / 8 * ((outcome in (i.Outcome.ERROR, i.Outcome.RESET)) - upstream.faults)
         if failed:
             shares = sorted([u.faults for u in self.fleet.values()])
             self.usual_errors = shares[(len(shares) - 1) // 2] if shares else 0.0
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -78,6 +78,53 @@
     assert SAFE not in driver.balancer.fleet[there].spells
 
 
+def test_more_than_half_out_of_reach_are_not_taken_for_usual() -> None:
+    """Errors that most upstreams have are forgiven, as any answer may be spoilt; a refused dial is none."""
+    driver = Driver(entries=fleet(9, 0), max_attempts=2)
+    dials = []
+    for _ in range(400):
+        driver.now += 50 * MS
+        went = driver.finish(lambda u: (Outcome.CONNECT_FAILED, MS) if u < "h5" else (Outcome.OK, 20 * MS))
+        dials.append(sum(u < "h5" for u in went))
+    assert driver.balancer.usual_errors == 0.0
+    assert sum(dials[100:]) < 60, "trials alone"
+
+
+def test_a_lost_zone_is_left_to_trials_while_another_can_be_reached_and_comes_back() -> None:
+    # guards against a dial into it for every request: a zone with all in a spell was used as if none was
+    driver = Driver(entries=fleet(4, 4), price_cross=0.9, max_attempts=3, keep_alive=30 * SECOND)
+    for outcome in [Outcome.FULL] * 3 + [Outcome.OK] * 40:
+        driver.finish(lambda u, o=outcome: (o if u[0] == "h" else Outcome.OK, MS))  # type: ignore[misc]
+        driver.now += 50 * MS
+
+    def play(lost: str, count: int = 150) -> float:
+        went: list[str] = []
+        for _ in range(count):
+            driver.now += 20 * MS
+            went += driver.finish(
+                lambda u: (Outcome.CONNECT_FAILED, MS) if u[0] in lost else (Outcome.OK, MS)
+            )
+        return sum(u[0] == "h" for u in went) / count
+
+    assert play("h") < 0.3
+    play("ha", 40)  # all are lost: every request may try
+    assert play("ha", 40) > 0.2
+    driver.now += 10 * SECOND
+    play("", 60)
+    assert play("") > 0.7, "trials found it again"
+
+
+def test_no_attempt_crosses_into_a_zone_as_full_as_the_own_one() -> None:
+    # guards against attempts after attempts that take each other's places, and cross for it
+    driver = Driver(entries=fleet(3, 6), price_cross=0.1, max_attempts=6, parallel=False)
+    crossed = []
+    for _ in range(100):
+        went = driver.finish(lambda u: (Outcome.FULL, MS), KEYED_ALL)
+        crossed.append(sum(u[0] == "a" for u in went))
+        driver.now += 100 * MS
+    assert sum(crossed[40:]) < 60
+
+
 def test_limited_further_attempts_go_where_something_was_served_lately() -> None:
     driver = Driver(entries=fleet(12, 0), further_window=SECOND, further_free=9.0, max_attempts=2)
     served = {driver.serve() for _ in range(4)}
