Storms: first tries may overdraw the rate, and cold is not taken for full

Cause, seen in a simulated fleet that comes back cold (eight cores, two guides, forty repeats a first try): 109 answers a second were good while of 84 first tries 64 were let in, as repeats found most tokens first; and the rate stood still for five seconds while answers were in time but slower than half the aim, as all are on a cold fleet. Ruled out: the number of repeats let in (their share was held), falls of the rate (none in those seconds). Now first tries may take half a second of the rate ahead, others keep a twentieth as their own; up to what was held answers in time are enough to grow; up to one and a half times the usual rate it creeps four times as fast.

--- a/linetrack/decide/storms.py
+++ b/linetrack/decide/storms.py
@@ -30,7 +30,8 @@
 STREAK = 3  # good ends one after the other say as much, long before older bad ones are forgotten
 DOWN_AGAIN = 0.35  # share of good ends under which a recovery has ended
 GROWS = 1.15  # a step, up to what was held well before: twofold in half a second
-CREEPS = 0.005  # of that, a step, beyond it
+CREEPS, STRAYS = 0.005, 0.02  # of the usual rate, a step, beyond it, and until FULL times it:
+FULL = 1.5  # what is offered strays about it
 BACK_TO = 0.8  # of the rate at which answers ceased to be in time it grows fast again
 EASES, STILL_QUICK = (
     0.9,
@@ -46,6 +47,7 @@
 ROOM = 1.2  # times what is offered
 SLACK = 2.0  # times its part a group may try for: the bucket holds the sum, chance alone would undershoot it
 BURST = 2.0  # requests at once at the least
+OVERDRAWN = 0.5  # seconds of the rate that first tries may take ahead of it
 STARVED = 0.05  # of the rate goes to each group that asks, whatever comes before it
 BUDGET_SHARE, BUDGET_MOST = 0.1, 10.0  # further attempts for each good end, and at most so many at once
 RETURNS = 0.5  # of the usual rate is what refused callers are told to come back at
@@ -82,7 +84,7 @@
         self.limit = 0.0  # requests a second that are let in, while engaged
         self.held = 0.0  # the rate up to which it grows fast
         self.fell_at = self.filled = 0
-        self.tokens = 0.0
+        self.tokens = self.spare = 0.0  # requests that may be let in, and of them others than first tries
         self.budget = BUDGET_MOST
         self.stepped = self.calm_since = self.engaged_at = 0
         self.calm_for = -SETTLES  # seconds from which the usual rate is known
@@ -109,11 +111,20 @@
         rate.add(now)
         self.groups[group] = worth, rate
         most = max(BURST, 2 * self.limit * STEP / SECOND)
-        self.tokens = min(most, self.tokens + self.limit * (now - self.filled) / SECOND)
+        more = self.limit * (now - self.filled) / SECOND
+        self.tokens, self.spare = min(most, self.tokens + more), min(BURST, self.spare + STARVED * more)
         self.filled = now
-        fits = self.tokens >= 1 and self.random.random() < self._share(now, group)
-        if fits:
-            self.tokens -= 1
+        # guards against repeats, many times as many, that find each token first: first tries may overdraw,
+        # and what is spared for the others is theirs then
+        if order is Order.FIRST:
+            fits = self.tokens >= 1 - max(BURST, OVERDRAWN * self.limit)
+        else:
+            fits = max(self.tokens, self.spare) >= 1
+        if fits := fits and self.random.random() < self._share(now, group):
+            if order is Order.FIRST or self.tokens >= 1:
+                self.tokens -= 1
+            else:
+                self.spare -= 1
             self.let_in += 1
         else:
             self.turned_away += 1
@@ -197,14 +208,16 @@
         noticed = self.streak >= STREAK and self.limit <= 2 * fewest
         if good + bad < 1:
             pass  # nothing ended lately: nothing is known
-        elif quick >= GOOD or noticed:
-            self.limit = min(self.limit * GROWS, max(self.limit, self.held) + CREEPS * self.held)
+        elif quick >= GOOD or noticed or (share >= GOOD and self.limit < self.held):
+            # a fleet that is still cold answers slowly, and in time: that is no queue
+            creep = STRAYS if self.limit < FULL * self.usual else CREEPS
+            self.limit = min(self.limit * GROWS, max(self.limit, self.held) + creep * self.usual)
         elif share < POOR and now - self.fell_at >= SECOND:
             if self.limit >= self.held * EASES:
                 # not for what follows from one fall, as the queue that it left behind is worked off
                 self.held = max(fewest, self.limit * BACK_TO)
             self.limit, self.fell_at = self.limit * FALLS, now
-        elif quick < STILL_QUICK and now - self.fell_at >= SECOND:
+        elif quick < STILL_QUICK and self.limit > self.usual and now - self.fell_at >= SECOND:
             if self.limit >= self.held * EASES:
                 # guards against taking the slowness of a fleet that is still cold for all that it will bear
                 self.held = self.limit = max(fewest, self.limit * EASES)
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -47,7 +47,9 @@
             self.later(int(at), "ask")
         while self.events and self.events[0][0] < START + seconds * SECOND:
             now, _, what, klass, tries = heapq.heappop(self.events)
-            if what == "ask":
+            if what == "told":
+                self._told(now, klass, tries)
+            elif what == "ask":
                 self._ask(now, tries, any(a <= (now - START) / SECOND < b for a, b in down))
             else:
                 in_time = klass <= 500 * MS
@@ -57,6 +59,9 @@
                 if not in_time:
                     self._again(now, tries)
 
+    def _told(self, now: int, guide: int, took: int) -> None:
+        raise NotImplementedError
+
     def _ask(self, now: int, tries: int, down: bool) -> None:
         if self.guide and not self.guide.admits(now, Arrival(1, 0, SECOND, repeat=tries > 0), 1.0):
             self._again(now, tries)
@@ -98,9 +103,59 @@
 def test_a_fleet_that_was_down_serves_again_within_seconds_and_stays_so(seed: int, obey: float) -> None:
     world = World(Storms(seed), seed, obey)
     world.play(60, ((10, 30),))
-    assert back(world, 30, 0.8) <= 6 and back(world, 30) <= 14
+    assert back(world, 30, 0.8) <= 4 and back(world, 30) <= 6
     before = sum(world.served[n] for n in range(2, 8)) / 6
-    assert min(world.served[n] for n in range(40, 58)) >= 0.6 * before  # no second collapse
+    # no second collapse: a second may be poor at four fifths of what the fleet can do, three in a row may not
+    assert all(sum(world.served[n + k] for k in range(3)) >= 0.6 * 3 * before for n in range(40, 56))
+
+
+class Cold(World):
+    """Eight cores, work of exponential size, 0.4 of their speed when they come back at second 30, warm at second
+    38; callers come again half a second after each failure, for 25 s, through two guides in turn."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(None, seed, 0.0, 85)
+        self.guides, self.cores = [Storms(seed), Storms(seed + 100)], [0] * 8
+        self.first, self.offered = Counter[int](), Counter[int]()  # first tries in time, by second asked
+
+    def _ask(self, now: int, tries: int, down: bool) -> None:
+        guide = self.guides[self.chance.randrange(2)]
+        age = (now - START) / SECOND
+        self.offered[int(age)] += not tries
+        core = min(range(8), key=lambda n: self.cores[n])
+        starts = max(now, self.cores[core])
+        if not guide.admits(now, Arrival(1, 0, SECOND, repeat=tries > 0), 1.0):
+            self._again(now, tries)
+        elif down or starts - now > 5 * SECOND:
+            guide.ended(now, False, False)
+            self._again(now, tries)
+        else:
+            speed = min(1.0, 0.4 + 0.6 * max(0.0, age - 30) / 8) if age >= 30 else 1.0
+            self.cores[core] = starts + int(self.chance.expovariate(speed / (56 * MS)))
+            took = self.cores[core] - now
+            good = took <= 400 * MS
+            self.first[int(age)] += good and not tries
+            self.later(now + took, "told", self.guides.index(guide), took)
+            if not good:
+                self._again(now + took, tries)
+
+    def _told(self, now: int, guide: int, took: int) -> None:
+        self.guides[guide].ended(now, took <= 400 * MS, took <= 200 * MS)
+
+    def _again(self, now: int, tries: int) -> None:
+        if tries < 50:
+            self.later(now + int(500 * MS * (0.9 + 0.2 * self.chance.random())), "ask", 0, tries + 1)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_cold_fleet_serves_first_tries_as_before_within_seconds(seed: int) -> None:
+    # guards against repeats, forty times as many, that find each token first, and against cold taken for full
+    world = Cold(seed)
+    world.play(50, ((10, 30),))
+    share = [world.first[n] / world.offered[n] for n in range(50)]
+    goal = 0.9 * sum(share[2:9]) / 7
+    assert next((n for n in range(30, 49) if min(share[n], share[n + 1]) >= goal), 99) <= 37
+    assert sum(share[38:50]) / 12 >= 0.85
 
 
 def test_without_the_guide_the_same_callers_keep_the_fleet_down() -> None:
