--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -110,8 +110,8 @@
 
 
 class Cold(World):
-    """Eight cores, work of exponential size, 0.4 of their speed when they come back at second 30, warm at second
-    38; callers come again half a second after each failure, for 25 s, through two guides in turn."""
+    """Eight cores, work of exponential size, 0.4 of their speed when they come back at second 30, warm at
+    second 38; callers come again half a second after each failure, for 25 s, through two guides in turn."""
 
     def __init__(self, seed: int) -> None:
         super().__init__(None, seed, 0.0, 85)
