--- a/linetrack/decide/storms.py
+++ b/linetrack/decide/storms.py
@@ -39,7 +39,7 @@
 )  # once a second while answers are in time and no longer quick: a queue grows, and a cliff is near
 FALLS = 0.6  # at once, and again only after answers to what was let in since have had time to come
 AHEAD = 3.0  # times what is answered well, at most
-FEWEST = 0.1  # of the usual rate of good answers is let in however bad they are: somebody has to notice
+FEWEST = 0.25  # of the usual rate of good answers is let in however bad they are: somebody has to notice
 LEAST = 2.0  # requests a second at the least
 USUAL_OVER = 20.0  # seconds over which the usual rate is learnt, while calm
 SETTLES = 1.0  # seconds until a first rate can be told
