A request that its key holds to a lost zone may still try what is listed there

Found by reading _ready: since a zone out of reach is left to trials, a keyed request whose group is that zone got no further attempt there, though another zone's being reachable is no help to it. Trials alone now only where it may go elsewhere. Test seen to fail before.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -300,14 +300,13 @@
 
     def _told_of(self, zone: int) -> tuple[float, float]:
         """Time of a mean request alone at the zone's mean upstream, and share of sends that find a place."""
-        seen = self.seen.get(zone)
-        if seen is None:
+        if zone not in self.seen:
             crowd, full = (part.get(zone) for part in (self.zones, self.full))
             crowded = math.exp(crowd.beside(self.now, 0.0)) if crowd else 1.0
             # guards against queues that are full at many: no place where there is none counts as an error
             room = 1.0 - 0.9 * full.beside(self.now, 0.0) if full else 1.0
-            seen = self.seen[zone] = math.exp(self.calm) * crowded, room
-        return seen
+            self.seen[zone] = math.exp(self.calm) * crowded, room
+        return self.seen[zone]
 
     def _expected(self, upstream: Upstream) -> float:
         """Expected completion of a mean request sent there now."""
@@ -392,9 +391,10 @@
         if barred:
             ready = [u for u in ready if u not in barred]
         open_to = [u for u in ready if not u.spells or self._open_to(request, u)]
-        # never mark a whole zone unavailable: who could be reached stays, else all if no other zone can be
+        # never mark a whole zone unavailable: who could be reached stays, else all if nowhere else will do
         open_to = open_to or [u for u in ready if u.linked >= self.now]
-        return open_to or ([] if any(u.linked >= self.now for u in self.up[not away]) else ready)
+        elsewhere = limits == (None, None) and any(u.linked >= self.now for u in self.up[not away])
+        return open_to or ([] if elsewhere else ready)
 
     def _moved(self, upstream: Upstream, alone: bool) -> None:
         """What is kept of the other zones sees what was sent or heard: of this one alone, or anew of all."""
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -7,7 +7,7 @@
 import pytest
 
 from linetrack.interface import Ended, FleetNews, Health, ListForm, Outcome
-from tests.helpers import KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
+from tests.helpers import KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
 
 def admitted(driver: Driver, klass: int, latency: int, count: int = 40) -> int:
@@ -114,6 +114,20 @@
     assert play("") > 0.7, "trials found it again"
 
 
+def test_one_that_is_held_to_a_lost_zone_may_still_try_it() -> None:
+    # its key's group is that zone: that another zone can be reached is no help to it
+    driver = Driver(entries=fleet(4, 4), keep_alive=30 * SECOND, parallel=False)
+    request, actions = driver.ask(KEYED)
+    (first,) = sends(actions)
+    for upstream in driver.balancer.fleet.values():
+        if upstream.zone == 0:
+            upstream.spells, upstream.linked = {KEYED: (SECOND, driver.now + 9 * SECOND)}, 0
+        else:
+            upstream.linked = driver.now + 9 * SECOND
+    further = sends(driver.end(request, first, Outcome.RESET, 20 * MS))
+    assert further and further[0][0] == "h" and further[0] != first
+
+
 def test_no_attempt_crosses_into_a_zone_as_full_as_the_own_one() -> None:
     # guards against attempts after attempts that take each other's places, and cross for it
     driver = Driver(entries=fleet(3, 6), price_cross=0.1, max_attempts=6, parallel=False)
