A process that meets the old one as it ends calls again instead of giving up

Cause: the program, not the test. Its log has neither takeover_nobody nor takeover_granted, so its call was connected and ended without a word: Link.hear gave None, Taking._call took that for nobody, and the program listened in the ordinary way while the successor held the listener. Between the old process's exit and the successor's rename the file of the link is refused too, with the same end. Ruled out: a taken operators' address (both are of hosts of their own).

Now an address that is taken although nobody was found sends the process back to calling, every 100 ms for the 5 s that a busy old one is asked for; a stranger on the address ends it as before, 5 s later. Two socket tests (a file that nobody listens at, one that ends as it is called) and one of the steps; all three failed before.

--- a/linetrack/decide/takeover.py
+++ b/linetrack/decide/takeover.py
@@ -108,7 +108,7 @@
         GAVE_UP = "there was no way"
 
     def __init__(self, now: int) -> None:
-        self.state, self.due, self.until = self.State.CALLING, NEVER, now + CALL_FOR
+        self.state, self.due, self.until = self.State.CALLING, now, now + CALL_FOR
         self.prepared_ = False
 
     def start(self, now: int) -> list[Do]:
@@ -120,6 +120,13 @@
         self.state, self.due = self.State.ALONE, NEVER
         return [Do.LISTEN]
 
+    def taken(self, now: int) -> list[Do]:
+        """Nobody was found and the address is not free: whoever has it may be about to be found."""
+        # guards against a call that met the old process as it ended, before its successor could be found
+        self.state = self.State.CALLING
+        last = now + CALL_AGAIN >= self.until
+        return self.busy(self.until if last else now)
+
     def busy(self, now: int) -> list[Do]:
         if now >= self.until:
             self.state, self.due = self.State.GAVE_UP, NEVER
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import os
 import signal
@@ -168,20 +169,23 @@
             return None, config.known
         self.giving = Giving(path, self._grant, self._act)
         taking = Taking(path, self._act, self._told)
-        if (granted := taking.call()) is not None:
-            fd, values = granted
-            self.clients.listener = socket.socket(fileno=fd)
-            return taking, _list(values, config.known)
-        self._prepare_to_give()
-        try:
-            self.clients.listen(config.listen, beside=self.giving is None)
-        except BaseException:
-            # guards against hiding a process that serves, and only could not be asked
-            if self.giving is not None:
+        while (granted := taking.call()) is None:
+            self._prepare_to_give()
+            try:
+                self.clients.listen(config.listen, beside=self.giving is None)
+            except OSError as fault:
+                if self.giving is None:
+                    raise
+                # guards against hiding a process that serves, and only could not be asked
                 self.giving.forget()
-            raise
-        self._be_found()
-        return None, config.known
+                if fault.errno != errno.EADDRINUSE or not taking.taken():
+                    raise
+            else:
+                self._be_found()
+                return None, config.known
+        fd, values = granted
+        self.clients.listener = socket.socket(fileno=fd)
+        return taking, _list(values, config.known)
 
     def _prepare_to_give(self) -> None:
         try:
--- a/linetrack/net/takeover.py
+++ b/linetrack/net/takeover.py
@@ -226,8 +226,8 @@
 
         Raises OSError where another process takes over already, or serves and does not let this one.
         """
-        do = self.steps.start(clock())
         while True:
+            do = self.steps.tick(clock())
             if Do.GIVE_UP in do:
                 raise OSError(f"{self.path}: another process serves or takes over")
             if Do.CALL in do:
@@ -238,7 +238,11 @@
                 if self.steps.state is New.State.ALONE:
                     return None
             gevent.sleep(LOOK)
-            do = self.steps.tick(clock())
+
+    def taken(self) -> bool:
+        """The address is another process's though nobody was found: whether to call again."""
+        log.info("takeover_address_taken")
+        return Do.GIVE_UP not in self.steps.taken(clock())
 
     def _call(self) -> tuple[int, dict[str, Any]] | None:
         link, heard = None, None
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -164,6 +164,17 @@
     assert calls > 10 and now <= 6 * SECOND
 
 
+def test_where_the_address_is_taken_and_nobody_is_found_it_calls_again_and_gives_up_in_time() -> None:
+    new, now, said = New(0), 0, []
+    for _ in range(100):
+        assert new.tick(now) == [Do.CALL] and new.nobody() == [Do.LISTEN]
+        said = new.taken(now)
+        if said:
+            break
+        now = new.due
+    assert said == [Do.GIVE_UP] and SECOND < now <= 6 * SECOND
+
+
 def test_another_version_is_not_granted_anything_and_one_that_hangs_makes_way() -> None:
     old = Old()
     assert old.called(0, 2) == [Do.CLOSE] and old.state is Old.State.SERVING
@@ -424,6 +435,27 @@
         assert ready.end() == 0 and other.ask("pay").status == 200
 
 
+@pytest.mark.parametrize("there", ["a file that nobody listens at", "one that ends as it is called"])
+def test_a_call_that_meets_the_old_one_as_it_ends_is_made_again(tmp_path: Path, there: str) -> None:
+    with Pairing(tmp_path, Upstream("a", slowly)) as pair:
+        (path,) = (tmp_path / "t").glob("*.sock")
+        away = path.with_name("away")
+        path.rename(away)
+        with socket.socket(socket.AF_UNIX) as ending:
+            ending.bind(str(path))
+            if there == "one that ends as it is called":
+                ending.listen()
+                new = pair.again(ready=False)
+                ending.settimeout(20)
+                ending.accept()[0].close()
+        if there == "a file that nobody listens at":
+            new = pair.again(ready=False)
+        until(lambda: "takeover_address_taken" in new.log() or (new.process and new.process.poll()))
+        away.rename(path)
+        until(lambda: healthy(new))
+        assert pair.old.end() == 0 and new.ask("pay").status == 200
+
+
 def _yes(sidecar: Sidecar) -> bool:
     try:
         return ask(sidecar.config["admin_addr"], "/admin/health").status == 200
