Other zones' views stand while upstreams are cold, and a cold one's credit is told once a moment

Odds that are all nought no longer divide by nought in _clipped (found by the new property). Both tests failed before.

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -215,16 +215,16 @@
         for name in over:
             # guards against records of all that ever was; attempts still out keep theirs
             self.fleet.pop(name).gone = True
-        kinds, zones = ({getattr(u, part) for u in self.fleet.values()} for part in ("kind", "zone"))
-        of_kinds, of_zones = (self.kinds, self.rates, self.nominal), (self.zones, self.full, self.others)
-        for known, there in [*((k, kinds) for k in of_kinds), *((k, zones) for k in of_zones)]:
-            for place in known.keys() - there:
-                del known[place]
+        if over:
+            kinds, zones = ({getattr(u, part) for u in self.fleet.values()} for part in ("kind", "zone"))
+            of_kinds, of_zones = (self.kinds, self.rates, self.nominal), (self.zones, self.full, self.others)
+            for known, there in [*((k, kinds) for k in of_kinds), *((k, zones) for k in of_zones)]:
+                for place in known.keys() - there:
+                    del known[place]
         if self.s.must_ask and not self.watching:
             self.watching = True
             # guards against a stampede: instances that start together spread their calls by lot
-            spread = min(self.s.ask_every // 2, (self.s.instances - 1) * ASK_PACE)
-            wait = int(self.random.random() * spread)
+            wait = int(self.random.random() * min(self.s.ask_every // 2, (self.s.instances - 1) * ASK_PACE))
             self.actions.append(i.SetTimer(wait, "ask") if wait else i.Watch(True))
 
     def _absent(self, over: set[str]) -> set[str]:
@@ -386,8 +386,9 @@
             up = [u for u in self.fleet.values() if not u.gone]
             self.up = [[u for u in up if (u.zone != self.s.zone) is part] for part in (False, True)]
         ready = self.up[away]
-        if limits != (None, None) or self.now < self.cold_until:
-            ready = [u for u in ready if self._fits(request, limits, u)]
+        now = self.now if limits == (None, None) else -1  # a warm one needs no asking where nothing binds
+        if now < self.cold_until:
+            ready = [u for u in ready if (now >= u.warm_at and not u.gone) or self._fits(request, limits, u)]
         if barred:
             ready = [u for u in ready if u not in barred]
         open_to = [u for u in ready if not u.spells or self._open_to(request, u)]
@@ -409,8 +410,8 @@
 
     def _weighed(self, request: Request, away: bool) -> Weighed:
         """The ready ones, what is expected of each, how sound it is, and its odds."""
-        # the others' are kept for a view, until something is sent there or heard: few requests leave the zone
-        easy = away and self.now >= self.cold_until and self._limits(request) == (None, None)
+        # the others' are kept for a view, until something is sent there or heard; the guard asks again
+        easy = away and not self.retired and self._limits(request) == (None, None)
         until, kept = self.kept.get(request.arrival.klass, (0, None))
         if easy and kept and self.now < until:
             return kept
@@ -447,26 +448,28 @@
         """One drawn at these odds; cold ones no oftener than their credit allows, else none."""
         if self.now < self.cold_until:
             odds = self._clipped(upstreams, odds)
-        if not upstreams or sum(odds) <= 0:
-            return None
         ends = list(accumulate(odds))
+        if not upstreams or ends[-1] <= 0:
+            return None
         pick = bisect(ends, self.random.random() * ends[-1], 0, len(ends) - 1)
         return pick if pick < len(upstreams) else None
 
     def _clipped(self, upstreams: list[Upstream], odds: list[float]) -> list[float]:
         """Odds whose shares for thinly budgeted cold ones keep to their credit; the rest may be nobody's."""
-        total, free, caps = sum(odds), 1.0, {}
+        now, total, free, warm, caps = self.now, sum(odds) or 1.0, 1.0, sum(odds), {}
         for at, upstream in enumerate(upstreams):
-            if self.now < upstream.warm_at and self._thin(upstream):
-                caps[at] = min(odds[at] / total, max(0.0, upstream.credit))
-                upstream.credit -= caps[at]
-                free -= caps[at]
-        warm = total - sum(odds[at] for at in caps)
+            if now < upstream.warm_at and (now == upstream.credit_at or self._thin(upstream)):
+                cap = caps[at] = min(odds[at] / total, max(0.0, upstream.credit))
+                upstream.credit -= cap
+                free -= cap
+                warm -= odds[at]
         if not caps or not free > 0:
             return odds
-        if warm <= 0:
-            return [*(caps.get(at, 0.0) for at in range(len(odds))), free]
-        return [caps[at] if at in caps else free * o / warm for at, o in enumerate(odds)]
+        # guards against the last bits of a difference taken for a warm one's share
+        scale, odds = (warm / free, odds.copy()) if warm > 1e-9 * total else (1.0, [*odds, free])
+        for at, cap in caps.items():
+            odds[at] = cap * scale
+        return odds
 
     def _candidates(self, request: Request) -> None:
         """Both candidates, up front; each upstream's expectation is worked out once."""
@@ -483,7 +486,7 @@
         request.first = request.second = None
         if pick is not None:
             request.first, request.net = home[pick], nets[pick]
-        if other is not None:
+        if other is not None and self._fits(request, (None, None), away[other]):
             # spillover: the own zone is short, and the worth gained over a usual draw exceeds the price
             gain = self._net(request, ([away[other]], [abroad[1][other]], [abroad[2][other]], []))[0]
             usual = sum(o * net for o, net in zip(worthy, nets, strict=True)) / (sum(worthy) or 1.0)
@@ -628,7 +631,6 @@
         kind, _, rest = token.partition(":")
         if kind == "ask":
             self.actions.append(i.Watch(True))
-            return
         request = self.requests.get(int(rest)) if rest.isdigit() else None
         if request and kind == "hold" and request.held:
             request.held = False
@@ -696,8 +698,7 @@
             if attempt is not None and attempt.copy and event.outcome is i.Outcome.OK:
                 self.budget = min(BUDGET_BURST, self.budget + COPY_PRICE)
             self._close(request, event.outcome is i.Outcome.OK)
-            return
-        if attempt is None:
+        if event.over or attempt is None:
             return
         never = event.outcome in i.NEVER_RAN
         ran = i.Ran(attempt.upstream.zone, attempt.upstream.cell, attempt.sent)
@@ -824,7 +825,7 @@
 
     def _thin(self, upstream: Upstream) -> bool:
         """Whether its part is too small for turns: sends fall by lot then, from a credit kept here."""
-        if self._cold_part(upstream) * COLD_TURNS >= 1:
+        if (upstream.part if self.now < upstream.part_until else self._cold_part(upstream)) * COLD_TURNS >= 1:
             return False
         more = upstream.lots * max(0, self.now - upstream.credit_at) / self.s.overload_for
         upstream.credit, upstream.credit_at = min(upstream.lots, upstream.credit + more), self.now
@@ -936,10 +937,9 @@
         del self.requests[request.number]
         klass = request.arrival.klass
         late = (request.began or self.now) - request.at > request.klass.aim
-        good = answered and not late
         if request.sends and self._alone(klass) >= DRAGS:
             self.late.add(self.now, float(late))
-        self.served[klass] += SMOOTH / 8 * (good - self.served[klass])
+        self.served[klass] += SMOOTH / 8 * ((answered and not late) - self.served[klass])
         self.orphans |= {(request.number, number): attempt for number, attempt in request.out.items()}
         if self.s.may_cancel and not request.began:
             self.actions += [i.Cancel(request.number, number) for number in request.out]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,8 @@
 from random import Random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from linetrack import rules
 from linetrack.evidence import Evidence
@@ -26,7 +28,7 @@
     Watch,
 )
 from linetrack.records import Request, Upstream
-from linetrack.rules import Balancer
+from linetrack.rules import Balancer, Weighed
 from tests.helpers import CELL, KEYED, KEYED_ALL, MS, SAFE, SECOND, UNSAFE, Driver, fleet, sends
 
 
@@ -642,3 +644,49 @@
         ):
             went[klass, upstream] += 1
     assert went[SAFE, "h0"] < 30 and went[KEYED_ALL, "h0"] > 50
+
+
+def test_while_upstreams_are_cold_the_other_zones_are_not_weighed_anew_for_each_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Work a request must not grow with the fleet for the whole time of a release: an instance that fell
+    behind by it was cut off."""
+    weighed, whole = 0, Balancer._survey
+
+    def survey(self: Balancer, upstreams: list[Upstream], klass: int) -> Weighed:
+        nonlocal weighed
+        weighed += sum(upstream.zone != self.s.zone for upstream in upstreams)
+        return whole(self, upstreams, klass)
+
+    entries = [Entry(f"h{n}", zone=0) for n in range(4)]
+    entries += [Entry(f"a{n}", zone=1, started=1000 * SECOND) for n in range(40)]
+    driver = Driver(entries=tuple(entries), instances=300, price_cross=10.0)
+    monkeypatch.setattr(Balancer, "_survey", survey)
+    for _ in range(50):
+        driver.serve(latency=10 * MS)
+    assert driver.now < driver.balancer.cold_until
+    assert weighed <= 2 * 40 + 50, "over half a second, in which one view of them stands"
+
+
+@given(st.lists(st.tuples(st.floats(0, 100), st.floats(0, 1) | st.none()), min_size=1, max_size=8))
+def test_shares_of_cold_ones_keep_to_their_credit_and_warm_ones_have_the_rest_as_before(
+    parts: list[tuple[float, float | None]],
+) -> None:
+    entries = tuple(
+        Entry(f"h{n}", started=0 if credit is None else 1000 * SECOND) for n, (_, credit) in enumerate(parts)
+    )
+    driver = Driver(entries=entries, instances=10_000)
+    balancer, odds = driver.balancer, [share for share, _ in parts]
+    upstreams = list(balancer.fleet.values())
+    for upstream, (_, credit) in zip(upstreams, parts, strict=True):
+        balancer._cold_part(upstream)
+        upstream.credit, upstream.credit_at = credit or 0.0, driver.now
+    clipped = balancer._clipped(upstreams, odds)
+    total, whole = sum(clipped) or 1.0, sum(odds) or 1.0
+    caps = [0.0 if c is None else min(o / whole, c) for o, c in parts]
+    warm = [o if c is None else 0.0 for o, c in parts]
+    if sum(caps) >= 1 - 1e-9 or 0 < sum(warm) <= 1e-6 * whole:
+        return
+    for at, (_, credit) in enumerate(parts):
+        wanted = caps[at] if credit is not None else (1 - sum(caps)) * warm[at] / (sum(warm) or 1.0)
+        assert clipped[at] / total == pytest.approx(wanted, abs=1e-6)
