--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -338,8 +338,9 @@
         if self.s.streams > 1 and upstream.linked < self.now:
             sound = min(sound, 1.0 - 0.9 * self.refused.value)
         if upstream.errors:
-            share = max(0.0, self._failing(upstream, klass) - math.sqrt(self.usual_errors))
-            sound *= 1 - min(0.9, share)
+            share = self._failing(upstream, klass) - math.sqrt(self.usual_errors)
+            if share > 0:
+                sound *= 1 - min(0.9, share)
         return sound
 
     def _failing(self, upstream: Upstream, klass: int) -> float:
@@ -477,7 +478,7 @@
         at_home, abroad = self._weighed(request, False), self._weighed(request, True)
         home, away = at_home[0], abroad[0]
         odds, far = (self._pulled(request, part[0], part[3]) for part in (at_home, abroad))
-        pick, other = self._draw(home, odds), self._draw(away, far)
+        pick, other, free = self._draw(home, odds), self._draw(away, far), (None, None)
         nets = self._net(request, at_home)
         worthy = [o if net >= 0 else 0.0 for o, net in zip(odds, nets, strict=True)]
         if pick is not None and nets[pick] < 0 and any(worthy):
@@ -486,7 +487,7 @@
         request.first = request.second = None
         if pick is not None:
             request.first, request.net = home[pick], nets[pick]
-        if other is not None and self._fits(request, (None, None), away[other]):
+        if other is not None and (self.now >= self.cold_until or self._fits(request, free, away[other])):
             # spillover: the own zone is short, and the worth gained over a usual draw exceeds the price
             gain = self._net(request, ([away[other]], [abroad[1][other]], [abroad[2][other]], []))[0]
             usual = sum(o * net for o, net in zip(worthy, nets, strict=True)) / (sum(worthy) or 1.0)
