Read once more: one sum of the odds a draw, one way to give up, a stopped start is tidied as before

- _clipped added the odds up twice for each draw and subtracted as it went: one sum, and the warm ones' share only where needed.
- New.taken told busy a time that was not so to make it give up: both call _give_up.
- A failed listen tidied its socket file only after an OSError; it does again whatever ends it.

--- a/linetrack/decide/snapshot.py
+++ b/linetrack/decide/snapshot.py
@@ -35,8 +35,7 @@
         **{name: {n: _told(e) for n, e in getattr(policy, name).items()} for name in OF_PLACES},
         "sizes": [_told(evidence) for evidence in policy.sizes],
         "mean_worth": policy.mean_worth,
-        "further": list(policy.ledger.further),
-        "taken": list(policy.ledger.taken),
+        **{name: list(getattr(policy.ledger, name)) for name in LEDGER},
         "window": policy.s.further_window,
         "upstreams": {name: _upstream(upstream) for name, upstream in policy.fleet.items()},
     }
--- a/linetrack/decide/takeover.py
+++ b/linetrack/decide/takeover.py
@@ -124,16 +124,18 @@
         """Nobody was found and the address is not free: whoever has it may be about to be found."""
         # guards against a call that met the old process as it ended, before its successor could be found
         self.state = self.State.CALLING
-        last = now + CALL_AGAIN >= self.until
-        return self.busy(self.until if last else now)
+        return self._give_up() if now + CALL_AGAIN >= self.until else self.busy(now)
 
     def busy(self, now: int) -> list[Do]:
         if now >= self.until:
-            self.state, self.due = self.State.GAVE_UP, NEVER
-            return [Do.GIVE_UP]
+            return self._give_up()
         self.due = now + CALL_AGAIN
         return []
 
+    def _give_up(self) -> list[Do]:
+        self.state, self.due = self.State.GAVE_UP, NEVER
+        return [Do.GIVE_UP]
+
     def granted(self, now: int) -> list[Do]:
         self.state, self.due = self.State.PREPARING, now + SILENT
         return []
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -173,12 +173,13 @@
             self._prepare_to_give()
             try:
                 self.clients.listen(config.listen, beside=self.giving is None)
-            except OSError as fault:
+            except BaseException as fault:
                 if self.giving is None:
                     raise
                 # guards against hiding a process that serves, and only could not be asked
                 self.giving.forget()
-                if fault.errno != errno.EADDRINUSE or not taking.taken():
+                in_use = isinstance(fault, OSError) and fault.errno == errno.EADDRINUSE
+                if not in_use or not taking.taken():
                     raise
             else:
                 self._be_found()
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -456,16 +456,16 @@
 
     def _clipped(self, upstreams: list[Upstream], odds: list[float]) -> list[float]:
         """Odds whose shares for thinly budgeted cold ones keep to their credit; the rest may be nobody's."""
-        now, total, free, warm, caps = self.now, sum(odds) or 1.0, 1.0, sum(odds), {}
+        now, total, free, caps = self.now, sum(odds) or 1.0, 1.0, {}
         for at, upstream in enumerate(upstreams):
             if now < upstream.warm_at and (now == upstream.credit_at or self._thin(upstream)):
                 cap, credit = odds[at] / total, upstream.credit
                 cap = caps[at] = cap if cap < credit else credit if credit > 0 else 0.0
                 upstream.credit -= cap
                 free -= cap
-                warm -= odds[at]
         if not caps or not free > 0:
             return odds
+        warm = total - sum(odds[at] for at in caps)
         # guards against the last bits of a difference taken for a warm one's share
         scale, odds = (warm / free, odds.copy()) if warm > 1e-9 * total else (1.0, [*odds, free])
         for at, cap in caps.items():
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -284,10 +284,7 @@
 
 def healthy(sidecar: Sidecar) -> bool:
     assert sidecar.process and sidecar.process.poll() is None, sidecar.log()
-    try:
-        return ask(sidecar.config["admin_addr"], "/admin/health").status == 200
-    except (OSError, AssertionError):
-        return False
+    return _yes(sidecar)
 
 
 def slowly(message: Message, wire: Wire) -> bytes:
@@ -443,13 +440,12 @@
         path.rename(away)
         with socket.socket(socket.AF_UNIX) as ending:
             ending.bind(str(path))
-            if there == "one that ends as it is called":
+            if ends := there == "one that ends as it is called":
                 ending.listen()
-                new = pair.again(ready=False)
+            new = pair.again(ready=False)
+            if ends:
                 ending.settimeout(20)
                 ending.accept()[0].close()
-        if there == "a file that nobody listens at":
-            new = pair.again(ready=False)
         until(lambda: "takeover_address_taken" in new.log() or (new.process and new.process.poll()))
         away.rename(path)
         until(lambda: healthy(new))
