A silent watch is noticed 0.3 s after its wait and called after at once, so drains are kept

Three servers begin to drain at 2.6 s. The log has 22.382 {"fault": "discovery did not answer", "event": "discovery_failed"} (20 + 1.5 s), the policy's back-off of 0.5 to 1.5 s came on top, and with calls logged the next one left at 23.820 and was answered at 24.327 with three DRAINING.

At fault: SLACK of 1.5 s in net/discovery.py, and `tell(REFUSED)` after any fault alike, which the policy answers with a back-off meant for a discovery that is down. Ruled out: news read late (the owner had the drain in the millisecond in which it was read), sends begun after news (`_forbidden` looks once more right before the first byte), calls in turn (6 sidecars; 200 silent at once were answered within 0.03 s).

decide/calls.py owns one budget of time since the last good call, for silence, reset, spoilt and cut-off answers, refusals, a move and a fresh start. Watches wait 10 to 20 s by lot, so that a fleet does not come back at one moment; a fault that only one call met is followed by a call that is answered at once (hold_ms=0); while refused, tries come nearer as the moment does and grow rare once it is over. Where lists are pushed, a new process serves once its first call was answered or failed, and one that discovery fails is back within the grace.

tests/test_calls.py and tests/test_discovery.py: 14 fail with the former times and the one back-off put in.

--- /dev/null
+++ b/linetrack/decide/calls.py
@@ -0,0 +1,113 @@
+"""When discovery is called, how long a call may wait, and when it counts as failed: one budget of time.
+
+What discovery has to tell binds an instance from a moment that the protocol names, whether or not it was
+heard.  All that is decided here follows from that moment, `due`; `docs/list.md` has the table of all cases.
+Owns it, the failures in a row and the lots that spread calls over the fleet.  Must never make a call.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from linetrack.interface import Settings
+
+MS, SECOND = 1_000, 1_000_000
+
+# --- The protocol's own figures ------------------------------------------------------------------
+SILENCE = 6 * SECOND  # what a silent call misses counts as told so long after it fell silent,
+AFTER_WAIT = 2 * SECOND  # or so long after its wait is over, if that is later
+MOVED = 4 * SECOND  # what another discovery tells counts so long after SIGHUP
+ON_WATCH = 200 * MS  # a watch goes on if called again within this
+
+# --- This program's ------------------------------------------------------------------------------
+HOLD = 20 * SECOND  # the longest wait of a watch; each waits for half of it at least, by lot
+OVERDUE = 300 * MS  # an answer that is late by more than this will not come: sound ones are by 2 ms at most
+ANSWER = 5 * SECOND  # the longest wait for an answer that is due at once, and for all of one that has begun
+ANSWER_LEAST = 1 * SECOND  # the shortest: a call that opens a watch was seen to take up to 0.7 s
+STILL = SECOND // 2  # an answer that has begun and stands still for so long is cut short
+AGAIN = 1 * SECOND  # the first wait before a discovery that is down is called again; doubles
+AGAIN_LEAST = 100 * MS  # between two calls at least, however near the moment is
+TRIES = 4  # the part of what is left that is waited before another try
+NO_NEWS = ON_WATCH // 2  # before the next call where a watch did not wait for news
+
+
+class Fault(Enum):
+    """How a call failed."""
+
+    SILENT = "silent"  # no answer
+    CUT = "cut_short"  # it has begun and stands still, or ends before it is whole
+    FAULTY = "faulty"  # it makes no sense, or is older than what is known
+    TURNED_AWAY = "turned_away"  # discovery answers that it does not answer
+    DOWN = "down"  # no connection, or it was reset
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """One call to discovery.  Times in microseconds."""
+
+    at: int  # when it is due
+    hold: int  # how long it waits for news; 0: it is answered at once
+    limit: int  # until its answer must have begun, dial included
+    still: int  # how long an answer that has begun may stand still
+
+
+class Calls:
+    """Of one instance: ask `next`, make that call at its time, say how it ended; and again, for ever."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.random = Random(seed)
+        self.due: int | None = None  # from when what was not heard may bind; None: nothing is missed yet
+        self.current = False  # the last call was answered: a watch from here on misses nothing
+        self.faults = 0  # in a row
+        self.again, self.at = AGAIN, 0
+        self.set(settings)
+        # guards against a list from before the start that binds no more, where changes come by themselves
+        self.current = not self.pushed
+
+    def set(self, settings: Settings) -> None:
+        """The settings from here on."""
+        self.pushed, self.grace = not settings.must_ask, settings.drain_grace
+        self.most = max(AGAIN, settings.ask_every // 2)
+
+    def moved(self, now: int) -> None:
+        """Another discovery is to be called, at once."""
+        self.due, self.current, self.faults, self.again, self.at = now + MOVED, False, 0, AGAIN, now
+
+    def next(self, now: int) -> Call:
+        """The call to make next; once it is made, one of `answered`, `failed` and `moved` is due."""
+        at = max(now, self.at)
+        if self.current:
+            # guards against a fleet whose watches fell silent together and are all given up together
+            hold = int(HOLD * (1 + self.random.random()) / 2) // MS * MS
+            self.due = at + max(SILENCE, hold + AFTER_WAIT)
+            return Call(at, hold, hold + OVERDUE, STILL)
+        limit = ANSWER
+        if self.pushed or self.due is not None:
+            left = 0 if self.pushed or self.due is None else self.due - at
+            # guards against a place in discovery's queue given up again and again
+            limit = min(ANSWER, max(ANSWER_LEAST, left // 2) << min(self.faults, 8))
+        return Call(at, 0, limit, min(ANSWER, STILL << min(self.faults, 8)))
+
+    def answered(self, now: int, call: Call, news: bool) -> None:
+        """Its answer has come whole; whether it told anything."""
+        self.due, self.current, self.faults, self.again, self.at = None, True, 0, AGAIN, now
+        if call.hold and not news and now < call.at + call.hold:
+            # guards against calls without pause where discovery does not wait for news
+            self.at = now + NO_NEWS
+
+    def failed(self, now: int, fault: Fault) -> None:
+        """It has failed; what it may have missed still binds when it did."""
+        self.current, self.faults = False, self.faults + 1
+        lot = 0.5 + self.random.random()
+        wait, self.again = int(self.again * lot), min(2 * self.again, self.most)
+        if self.pushed:
+            # all that discovery gets binds at once, heard or not
+            wait = int(lot * min(AGAIN, max(AGAIN_LEAST, self.grace // TRIES)))
+        elif self.due is not None:
+            left = abs(self.due - now)  # once it is over, tries grow rare again
+            wait = min(wait, int(lot * max(AGAIN_LEAST, left // TRIES)))
+        if self.faults == 1 and fault in (Fault.SILENT, Fault.CUT, Fault.FAULTY):
+            wait = 0  # discovery is up: only this call was not
+        self.at = now + wait
--- a/linetrack/net/connection.py
+++ b/linetrack/net/connection.py
@@ -17,6 +17,10 @@
 READ_SIZE = 64 * 1024
 
 
+class StalledError(MalformedError):
+    """An answer has begun and then stood still."""
+
+
 class Connection:
     __slots__ = ("address", "depth", "idle_since", "reader", "sock", "until")
 
@@ -66,7 +70,7 @@
                 try:
                     data = self.sock.recv(READ_SIZE)
                 except TimeoutError:
-                    raise MalformedError("the answer stands still") from None
+                    raise StalledError("the answer stands still") from None
                 answer = reader.feed(data) if data else reader.finish()
             self.sock.settimeout(None)
         return answer or (reader.answer if reader.long else None)
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -1,7 +1,7 @@
 """Discovery: the list of upstreams, called for and watched.
 
 Owns the connection to discovery, its address and the version of the list at hand.  Must never decide when to
-ask again after a failure: that is told to the module as refused.
+call, for how long or when to give up: that is `decide/calls.py`.
 """
 
 from __future__ import annotations
@@ -12,22 +12,28 @@
 
 import gevent
 import structlog
+from gevent import socket
 from gevent.event import Event
 
-from linetrack.interface import Entry, FleetNews, ListForm
+from linetrack.decide.calls import ANSWER, Call, Calls, Fault
+from linetrack.interface import Entry, FleetNews, ListForm, Settings
 from linetrack.net import messages
 from linetrack.net.clock import clock
-from linetrack.net.connection import Connection
+from linetrack.net.connection import Connection, StalledError
 from linetrack.net.messages import Answer, MalformedError, Member, MemberList
 from linetrack.net.upstreams import Upstreams
 
 log = structlog.get_logger()
 
-HOLD_MS = 20_000  # how long a watch waits for news
-SLACK = 1.5  # seconds beyond that in which it must be answered; after 2 its news counts as told
-ANSWER_WITHIN = 5.0  # seconds for a call that need not wait
-NO_NEWS = 0.1  # seconds between calls after an answer without news; a watch goes on if called again in 0.2
-ASK_AGAIN = 1.0  # seconds after a failure where the module is not asked to call
+SECOND = 1_000_000
+
+
+class CallError(Exception):
+    """A call to discovery failed."""
+
+    def __init__(self, fault: Fault, cause: object) -> None:
+        super().__init__(str(cause) or type(cause).__name__)
+        self.fault = fault
 
 
 class Discovery:
@@ -38,19 +44,22 @@
         tell: Callable[[FleetNews, int], None],
         zones: tuple[str, ...],
         kinds: tuple[str, ...],
-        must_ask: bool,
+        settings: Settings,
+        seed: int,
     ) -> None:
         self.address, self.upstreams, self.tell = address, upstreams, tell
-        self.set(zones, kinds, must_ask)
+        self.calls = Calls(settings, seed)
+        self.set(zones, kinds, settings)
         self.version: int | None = None
-        self.asked = Event()
+        self.asked, self.moved = Event(), Event()
+        self.heard = Event()  # the first call has been answered, or has failed
         self.following: gevent.Greenlet | None = None
 
-    def set(self, zones: tuple[str, ...], kinds: tuple[str, ...], must_ask: bool) -> None:
-        """The numbers that places and kinds have from here on, and whether the module asks for the list."""
+    def set(self, zones: tuple[str, ...], kinds: tuple[str, ...], settings: Settings) -> None:
+        """The numbers that places and kinds have from here on, and the settings."""
         self.zones = {name: n for n, name in enumerate(zones)}
         self.kinds = {name: n for n, name in enumerate(kinds)}
-        self.must_ask = must_ask
+        self.calls.set(settings)
 
     def remember(self, known: MemberList) -> None:
         """The list as this sidecar last had it, before anything else is told."""
@@ -58,6 +67,7 @@
         self._tell(known, ListForm.REMEMBERED)
 
     def watch(self) -> None:
+        """The module asks for the list; from then on it is kept."""
         self.asked.set()
 
     def move(self, address: tuple[str, int]) -> None:
@@ -67,67 +77,96 @@
         if address == self.address:
             return
         self.address, self.version = address, None
-        self.asked.set()
+        self.calls.moved(clock())
+        for event in (self.asked, self.moved):
+            event.set()
         if self.following is not None:
             self.following.kill()
 
     def run(self) -> None:
-        """Each time the module asks, a watch until it fails or discovery moves; for ever."""
-        if not self.must_ask:
-            self.asked.set()
+        """Calls one after the other, from the module's asking on where changes do not come by themselves; for
+        ever."""
+        if not self.calls.pushed:
+            self.asked.wait()
         while True:
-            self.asked.wait(None if self.must_ask else ASK_AGAIN)
-            self.asked.clear()
-            self.following = gevent.spawn(self._until_it_fails)
-            fault = self.following.get()
+            self.moved.clear()
+            call = self.calls.next(clock())
+            if self.moved.wait(max(0, call.at - clock()) / SECOND):
+                continue
+            self.following = gevent.spawn(self._until_it_fails, call)
+            failed = self.following.get()
             self.following = None
-            if not isinstance(fault, gevent.GreenletExit):
-                log.warning("discovery_failed", fault=str(fault) or type(fault).__name__)
-                self.tell(FleetNews(ListForm.REFUSED), clock())
+            # guards against the old discovery's failure holding back the first call to another
+            if isinstance(failed, CallError) and not self.moved.is_set():
+                self.calls.failed(clock(), failed.fault)
+                self.heard.set()
+                log.warning("discovery_failed", how=failed.fault.value, fault=str(failed))
 
-    def _until_it_fails(self) -> Exception:
+    def _until_it_fails(self, call: Call) -> CallError:
         try:
-            self._follow()
-        except (OSError, MalformedError) as fault:
-            return fault
+            self._follow(call)
+        except CallError as failed:
+            return failed
 
-    def _follow(self) -> NoReturn:
-        """Calls one after the other, on one connection while it is kept; ends by raising."""
+    def _follow(self, call: Call) -> NoReturn:
+        """This call and all that follow it, on one connection while it is kept; ends by raising."""
         line: Connection | None = None
-        first = True
         try:
             while True:
+                gevent.sleep(max(0, call.at - clock()) / SECOND)
                 if line is None:
-                    line = Connection(self.address, messages.MOST_LIST, messages.MOST_LIST)
-                    line.dial(ANSWER_WITHIN)
-                within = ANSWER_WITHIN if self.version is None else HOLD_MS / 1000 + SLACK
-                answer = self._call(line, within)
+                    line = self._dial(call)
+                answer = self._call(line, call)
                 if answer.status != 200:
-                    raise MalformedError(f"discovery answered {answer.status}")
+                    raise CallError(Fault.TURNED_AWAY, f"discovery answered {answer.status}")
                 before = self.version
-                self._take(messages.decode_list(answer.body), first)
-                first = False
-                if self.version == before:
-                    # guards against calls without pause where discovery does not wait for news
-                    gevent.sleep(NO_NEWS)
+                try:
+                    self._take(messages.decode_list(answer.body))
+                except MalformedError as fault:
+                    raise CallError(Fault.FAULTY, fault) from None
+                self.calls.answered(clock(), call, self.version != before)
+                self.heard.set()
                 if not answer.keep or line.reader.stray:
                     line.close()
                     line = None
+                call = self.calls.next(clock())
         finally:
             if line is not None:
                 line.close()
 
-    def _call(self, line: Connection, within: float) -> Answer:
-        """One call's answer, whole; raises where none comes in time."""
-        with gevent.Timeout(within, TimeoutError("discovery did not answer")):
-            line.sock.sendall(messages.encode_list_call(self.address, self.version, HOLD_MS))
-            answer = line.read(within, lambda size: None)
+    def _dial(self, call: Call) -> Connection:
+        line = Connection(self.address, messages.MOST_LIST, messages.MOST_LIST)
+        try:
+            line.dial(min(call.limit, ANSWER) / SECOND)
+        except OSError as fault:
+            raise CallError(Fault.DOWN, fault) from None
+        return line
+
+    def _call(self, line: Connection, call: Call) -> Answer:
+        """One call's answer, whole; a CallError where none comes in time."""
+        fault = Fault.SILENT
+        try:
+            with gevent.Timeout(max(0, call.at + call.limit - clock()) / SECOND, TimeoutError("no answer")):
+                line.sock.sendall(messages.encode_list_call(self.address, self.version, call.hold // 1000))
+                socket.wait_read(line.sock.fileno())
+            fault = Fault.CUT
+            with gevent.Timeout(ANSWER / SECOND, TimeoutError("the answer takes too long")):
+                answer = line.read(call.still / SECOND, lambda size: None)
+        except TimeoutError as late:
+            raise CallError(fault, late) from None
+        except OSError as broken:
+            raise CallError(Fault.DOWN, broken) from None
+        except StalledError as late:
+            raise CallError(Fault.CUT, late) from None
+        except MalformedError as malformed:
+            raise CallError(Fault.FAULTY, malformed) from None
         if answer is None:
-            raise MalformedError("discovery closed the connection")
+            fault = Fault.DOWN if line.reader.answer is None else Fault.CUT
+            raise CallError(fault, "discovery closed the connection")
         line.reader.next()
         return answer
 
-    def _take(self, told: MemberList, first: bool) -> None:
+    def _take(self, told: MemberList) -> None:
         if told.passed_over:
             log.warning("members_passed_over", entries=told.passed_over)
         if self.version is not None and told.version < self.version:
@@ -136,7 +175,7 @@
             version, self.version = self.version, None
             raise MalformedError(f"version {told.version} is older than {version}")
         self.version = told.version
-        if told.members or told.full or first:
+        if told.members or told.full:
             self._tell(told, ListForm.WHOLE if told.full else ListForm.CHANGES)
 
     def _tell(self, told: MemberList, form: ListForm) -> None:
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -78,7 +78,8 @@
             lambda news, seen: self.owner.put(news, seen),
             config.zone_names,
             config.kind_names,
-            config.settings.must_ask,
+            config.settings,
+            config.seed,
         )
         if config.storms:
             policy = _damping(policy)
@@ -136,6 +137,9 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
+        if self.discovery.calls.pushed:
+            # guards against sends by a list from before the start: what discovery has binds at once here
+            self.discovery.heard.wait()
         self._enter(Phase.SERVING)
         if taking is not None:
             must_live("takeover", taking.follow)
@@ -312,7 +316,7 @@
         """Other settings, whole and at one moment: nothing waits in here, and the owner takes what was read
         before it under the old ones, what is read after it under the new."""
         self.upstreams.set(new.dial_timeout, new.keep_alive, new.report_fields)
-        self.discovery.set(new.zone_names, new.kind_names, new.settings.must_ask)
+        self.discovery.set(new.zone_names, new.kind_names, new.settings)
         self.figures.declare(new.class_names)
         self.clients.set(new.class_names, new.deadlines)
         self.owner.put(Turn(partial(self._succeed, new)), clock())
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,166 @@
+"""When discovery is called, in simulated time: nothing that counts as told is heard too late.
+
+The model of discovery and of when its news binds is written from the protocol, apart from what is tested.
+"""
+
+from itertools import pairwise
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from linetrack.decide.calls import Call, Calls, Fault
+from linetrack.interface import Settings
+
+MS, SECOND = 1_000, 1_000_000
+GRACE = 300 * MS  # in which sends to one that drains must end
+
+
+class Discovery:
+    """One change of the list, and calls to it: answered in turn, turned away, or silent.
+
+    All that wait at `silence` are never answered.  A call that goes on a watch is taken at once, another one
+    after up to `slow`; of those, up to two in a row are turned away where `turns_away`.
+    """
+
+    def __init__(self, seed: int, change: int, silence: int, slow: int, turns_away: bool) -> None:
+        self.random, self.change, self.silence, self.slow = Random(seed), change, silence, slow
+        self.turns_away, self.turned = turns_away, 0
+        self.made: list[int] = []  # when each call was made
+
+    def play(self, calls: Calls, until: int, least: int) -> tuple[int, int]:
+        """When the change counts as told and when it was heard, for an instance that starts at 0.  One that
+        met no waiting call counts `least` after it was made."""
+        now, told, heard, on_watch = 0, self.change + least, until, False
+        while now < until:
+            call = calls.next(now)
+            start = taken = call.at
+            self.made.append(start)
+            if not on_watch:
+                if self.turns_away and self.turned < 2 and self.random.random() < 0.5:
+                    self.turned += 1
+                    calls.failed(start, Fault.TURNED_AWAY)
+                    now = start
+                    continue
+                taken, self.turned = start + self.random.randrange(1, self.slow), 0
+            news = self.change <= max(taken, start + call.hold) and heard == until
+            answered = max(taken, self.change if news else start + call.hold)
+            on_watch = not (call.hold and start <= self.silence < answered)
+            if not on_watch:
+                if heard == until and self.change <= start + call.limit:
+                    told = max(self.silence + 6 * SECOND, start + call.hold + 2 * SECOND)
+                now = start + call.limit
+                calls.failed(now, Fault.SILENT)
+                continue
+            now = answered
+            if news:
+                heard = now
+                if call.hold and start <= self.change:
+                    told = now  # it counts when it is written
+            calls.answered(now, call, news)
+        return told, heard
+
+
+ASKED = Settings((), must_ask=True, ask_every=10 * SECOND, drain_grace=GRACE)
+PUSHED = Settings((), drain_grace=GRACE)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.integers(0, 10**6), st.integers(0, 60 * SECOND), st.integers(-SECOND, 20 * SECOND), st.booleans())
+def test_what_a_silent_watch_missed_is_heard_before_it_binds(
+    seed: int, silence: int, after: int, pushed: bool
+) -> None:
+    """Guards against a silent watch given up so late, and followed by a back-off so long, that servers which
+    had been announced as leaving were still sent to (days calm+brink, every seed)."""
+    slow = 5 * MS if pushed else 600 * MS
+    discovery = Discovery(seed, max(0, silence + after), silence, slow, turns_away=not pushed)
+    calls = Calls(PUSHED if pushed else ASKED, seed)
+    until = silence + 60 * SECOND
+    told, heard = discovery.play(calls, until, 0 if pushed else 10 * SECOND)
+    assert heard <= told + GRACE
+
+
+@pytest.mark.parametrize("count", [230, 1024])
+def test_a_fleet_whose_watches_fall_silent_together_calls_little_and_spread(count: int) -> None:
+    """Guards against all of a fleet calling again at one moment: discovery works through calls in turn."""
+    discovery = Discovery(1, 3 * SECOND, 2 * SECOND, 600 * MS, turns_away=False)
+    for n in range(count):
+        discovery.play(Calls(ASKED, n), 30 * SECOND, 10 * SECOND)
+    # one at the start, one after the silence, and watches of ten seconds at least
+    assert len(discovery.made) <= 5 * count
+    seconds = [sum(at // SECOND == s for at in discovery.made) for s in range(5, 30)]
+    assert max(seconds) <= count / 3
+
+
+def failing(calls: Calls, fault: Fault, until: int, now: int = 0) -> list[int]:
+    """When it calls a discovery that fails at once, until then."""
+    at = []
+    while (call := calls.next(now)).at < until:
+        now = call.at
+        at.append(now)
+        calls.failed(now, fault)
+    return at
+
+
+def silent(calls: Calls) -> tuple[int, int]:
+    """A first watch that says nothing: when it was given up, and when what it missed binds."""
+    call = calls.next(0)
+    assert calls.due is not None and call.hold
+    due, now = calls.due, call.limit
+    calls.failed(now, Fault.SILENT)
+    return now, due
+
+
+@given(st.integers(0, 10**6))
+def test_a_discovery_that_turns_calls_away_is_tried_often_only_near_the_moment(seed: int) -> None:
+    calls = Calls(ASKED, seed)
+    now, due = silent(calls)
+    tries = failing(calls, Fault.TURNED_AWAY, due + 60 * SECOND, now)
+    assert sum(at <= due for at in tries) >= 4
+    assert sum(at <= due + 2 * SECOND for at in tries) <= 25
+    late = [at for at in tries if at > due + 30 * SECOND]
+    assert all(after - before >= SECOND for before, after in pairwise(late))
+
+
+@given(st.integers(0, 10**6))
+def test_without_anything_missed_a_discovery_that_is_down_is_left_more_and_more_alone(seed: int) -> None:
+    """A first call that fails leaves the list as it is for `ask_every` from the call, four times that once it
+    failed; waits stay under it."""
+    calls = Calls(ASKED, seed)
+    call = calls.next(0)
+    calls.due = None
+    calls.failed(call.at, Fault.DOWN)
+    tries = [0, *failing(calls, Fault.DOWN, 120 * SECOND)]
+    waits = [after - before for before, after in pairwise(tries)]
+    assert max(waits) < 10 * SECOND and len(tries) < 50
+    assert waits[0] <= 1500 * MS
+
+
+@given(st.integers(0, 10**6))
+def test_where_lists_are_pushed_a_discovery_that_was_down_is_met_within_the_grace(seed: int) -> None:
+    """What it gets at its return counts at once, whether or not a watch is open."""
+    calls = Calls(PUSHED, seed)
+    tries = failing(calls, Fault.DOWN, 20 * SECOND)
+    assert max(after - before for before, after in pairwise(tries)) <= GRACE
+
+
+@given(st.integers(0, 10**6), st.integers(0, 30 * SECOND))
+def test_another_discovery_is_called_at_once_and_again_before_its_news_counts(seed: int, at: int) -> None:
+    """Guards against the back-off of the old discovery, and against three refusals of the new one that
+    outlast the four seconds after SIGHUP."""
+    calls = Calls(ASKED, seed)
+    failing(calls, Fault.DOWN, at)
+    calls.moved(at)
+    tries = failing(calls, Fault.TURNED_AWAY, at + 4 * SECOND, at)
+    assert tries[0] == at and len(tries) >= 5
+
+
+def test_a_call_after_a_failure_is_answered_at_once_and_a_watch_comes_behind_it() -> None:
+    calls = Calls(ASKED, 1)
+    now, _ = silent(calls)
+    prompt = calls.next(now)
+    assert prompt.hold == 0 and prompt.at == now
+    calls.answered(now + MS, prompt, False)
+    watch = calls.next(now + MS)
+    assert isinstance(watch, Call) and watch.hold and watch.at - now <= 200 * MS
