--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -145,8 +145,10 @@
     def _call(self, line: Connection, call: Call) -> Answer:
         """One call's answer, whole; a CallError where none comes in time."""
         fault = Fault.SILENT
+        # a wait begins when discovery has been told of it, however long the dial took
+        since = clock() if call.hold else call.at
         try:
-            with gevent.Timeout(max(0, call.at + call.limit - clock()) / SECOND, TimeoutError("no answer")):
+            with gevent.Timeout(max(0, since + call.limit - clock()) / SECOND, TimeoutError("no answer")):
                 line.sock.sendall(messages.encode_list_call(self.address, self.version, call.hold // 1000))
                 socket.wait_read(line.sock.fileno())
             fault = Fault.CUT
--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -40,7 +40,7 @@
 BUDGET_BURST = 8.0  # and at most so many at once, of which an instance starts with the least that lets one go
 SPELL = 1 * SECOND  # first unavailable spell (design page); doubles while trials fail
 SPELL_MAX = 8 * SECOND  # so that a recovered upstream is not kept out for long
-ABSENT_MOST = 256  # records kept of upstreams that the list calls gone, where that is advice
+ABSENT_MOST = 2_048  # records kept of upstreams called gone where that is advice: a whole fleet, replaced
 DRAG_STEP = 0.5  # weight of a new answer in a class's share of answers in time
 DRAG_APART = SECOND // 4  # late answers of a class that come closer together count as one
 DRAG_TRIALS = 0.04  # share of such a class's requests that is sent at least
@@ -230,7 +230,7 @@
     def _absent(self, over: set[str]) -> set[str]:
         """Guards against a list that is wrong about who is up: those called gone where that is advice stay,
         on trial if they did not drain.  Answers end the trial, failures the record; whom to forget."""
-        for name in [name for name in self.fleet if name in over]:
+        for name in [name for name, known in self.fleet.items() if name in over and not known.absent]:
             upstream = self.fleet[name] = self.fleet.pop(name)
             upstream.absent = True
             for klass in range(len(self.s.classes)):
