Discovery is read within 6 s of its being reachable, whatever failed before; old watch heard out

Also found on the way: a socket that could not be made (EMFILE) ended the process (the connection was made outside the try in net/discovery.py:_dial); at SIGHUP the old discovery's watch was killed with news that had been written and counts as told. Where lists are pushed a start no longer counts a first call that was turned away or spoilt as heard.

--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -8,14 +8,13 @@
 
 import zlib
 from collections.abc import Callable
-from typing import NoReturn
 
 import gevent
 import structlog
 from gevent import socket
 from gevent.event import Event
 
-from linetrack.decide.calls import ANSWER, Call, Calls, Fault
+from linetrack.decide.calls import Call, Calls, Fault
 from linetrack.interface import Entry, FleetNews, ListForm, Settings
 from linetrack.net import messages
 from linetrack.net.clock import clock
@@ -52,8 +51,10 @@
         self.set(zones, kinds, settings)
         self.version: int | None = None
         self.asked, self.moved = Event(), Event()
-        self.heard = Event()  # the first call has been answered, or has failed
-        self.following: gevent.Greenlet | None = None
+        # a first call was answered, or there is nobody to answer; where lists are asked for, it has failed
+        self.heard = Event()
+        self.turn = 0  # how often another discovery was named
+        self.former: gevent.Greenlet | None = None  # hears what the one before it still tells
 
     def set(self, zones: tuple[str, ...], kinds: tuple[str, ...], settings: Settings) -> None:
         """The numbers that places and kinds have from here on, and the settings."""
@@ -77,11 +78,10 @@
         if address == self.address:
             return
         self.address, self.version = address, None
+        self.turn += 1
         self.calls.moved(clock())
         for event in (self.asked, self.moved):
             event.set()
-        if self.following is not None:
-            self.following.kill()
 
     def run(self) -> None:
         """Calls one after the other, from the module's asking on where changes do not come by themselves; for
@@ -93,23 +93,36 @@
             call = self.calls.next(clock())
             if self.moved.wait(max(0, call.at - clock()) / SECOND):
                 continue
-            self.following = gevent.spawn(self._until_it_fails, call)
-            failed = self.following.get()
-            self.following = None
-            # guards against the old discovery's failure holding back the first call to another
-            if isinstance(failed, CallError) and not self.moved.is_set():
+            following = gevent.spawn(self._until_it_fails, call, self.turn)
+            gevent.wait([following, self.moved], count=1)
+            if self.moved.is_set():
+                # guards against the old discovery's failure holding back the first call to another
+                self._hear_out(following)
+            elif isinstance(failed := following.get(), CallError):
                 self.calls.failed(clock(), failed.fault)
-                self.heard.set()
+                if failed.fault is Fault.DOWN or not self.calls.pushed:
+                    self.heard.set()
                 log.warning("discovery_failed", how=failed.fault.value, fault=str(failed))
 
-    def _until_it_fails(self, call: Call) -> CallError:
+    def _hear_out(self, following: gevent.Greenlet | None) -> None:
+        """Another discovery is asked from here on.
+
+        Guards against news that the old one had written and that nobody would read: it counts as told.  Its
+        open call is heard until the new one has answered, or the next move."""
+        if self.former is not None:
+            self.former.kill(block=False)
+        self.former = following
+
+    def _until_it_fails(self, call: Call, turn: int) -> CallError | None:
         try:
-            self._follow(call)
+            self._follow(call, turn)
         except CallError as failed:
             return failed
+        return None
 
-    def _follow(self, call: Call) -> NoReturn:
-        """This call and all that follow it, on one connection while it is kept; ends by raising."""
+    def _follow(self, call: Call, turn: int) -> None:
+        """This call and all that follow it, on one connection while it is kept; ends by raising, or once
+        another discovery is asked."""
         line: Connection | None = None
         try:
             while True:
@@ -121,9 +134,14 @@
                     raise CallError(Fault.TURNED_AWAY, f"discovery answered {answer.status}")
                 before = self.version
                 try:
-                    self._take(messages.decode_list(answer.body))
+                    told = messages.decode_list(answer.body)
+                    if turn != self.turn:
+                        self._take_last(told)
+                        return
+                    self._take(told)
                 except MalformedError as fault:
                     raise CallError(Fault.FAULTY, fault) from None
+                self._hear_out(None)
                 self.calls.answered(clock(), call, self.version != before)
                 self.heard.set()
                 if not answer.keep or line.reader.stray:
@@ -135,9 +153,10 @@
                 line.close()
 
     def _dial(self, call: Call) -> Connection:
-        line = Connection(self.address, messages.MOST_LIST, messages.MOST_LIST)
         try:
-            line.dial(min(call.limit, ANSWER) / SECOND)
+            # guards against ending with the process where no descriptor is left
+            line = Connection(self.address, messages.MOST_LIST, messages.MOST_LIST)
+            line.dial(call.dial / SECOND)
         except OSError as fault:
             raise CallError(Fault.DOWN, fault) from None
         return line
@@ -152,7 +171,7 @@
                 line.sock.sendall(messages.encode_list_call(self.address, self.version, call.hold // 1000))
                 socket.wait_read(line.sock.fileno())
             fault = Fault.CUT
-            with gevent.Timeout(ANSWER / SECOND, TimeoutError("the answer takes too long")):
+            with gevent.Timeout(call.whole / SECOND, TimeoutError("the answer takes too long")):
                 answer = line.read(call.still / SECOND, lambda size: None)
         except TimeoutError as late:
             raise CallError(fault, late) from None
@@ -168,6 +187,11 @@
         line.reader.next()
         return answer
 
+    def _take_last(self, told: MemberList) -> None:
+        """The last news of a discovery that was left, while the new one has told nothing."""
+        if self.version is None and (told.members or told.full):
+            self._tell(told, ListForm.WHOLE if told.full else ListForm.CHANGES)
+
     def _take(self, told: MemberList) -> None:
         if told.passed_over:
             log.warning("members_passed_over", entries=told.passed_over)
