--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,66 @@
+"""The list of tests that are known to fail: it excuses what it names, and nothing else."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.known_red import read
+from tests.stand_ins import ROOT
+
+TESTS = """
+import pytest
+def test_good(): pass
+def test_bad(): assert False
+@pytest.mark.parametrize("n", [1, 2])
+def test_each(n): assert n == 1
+"""
+CONFTEST = """
+from pathlib import Path
+from tests.known_red import KnownRed
+def pytest_configure(config):
+    config.pluginmanager.register(KnownRed(Path(__file__).parent / "red.txt"))
+"""
+
+
+def run(folder: Path, red: str, *arguments: str) -> tuple[int, str]:
+    """pytest's exit status and output, with that list, in a folder of its own."""
+    (folder / "test_some.py").write_text(TESTS)
+    (folder / "conftest.py").write_text(CONFTEST)
+    (folder / "pytest.ini").write_text(f"[pytest]\npythonpath = {ROOT}\n")
+    (folder / "red.txt").write_text(red)
+    command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *arguments]
+    done = subprocess.run(command, cwd=folder, capture_output=True, text=True)
+    return done.returncode, done.stdout + done.stderr
+
+
+BAD = "test_some.py::test_bad | a cause | issue 1\n"
+EACH = "test_some.py::test_each[2] | another | issue 2\n"
+
+
+@pytest.mark.parametrize(
+    ("red", "arguments", "status", "said"),
+    [
+        (BAD + EACH, (), 0, "known red: test_some.py::test_each[2]: another (issue 2)"),
+        ("# none\n\n" + BAD, (), 1, "1 failed"),
+        (BAD + EACH + "test_some.py::test_good | c | i", (), 1, "XPASS(strict)"),
+        (BAD + "test_some.py::test_each | c | i", (), 4, "there is no test test_some.py::test_each"),
+        (BAD + "test_gone.py::test_bad | c | i", (), 4, "there is no test test_gone.py::test_bad"),
+        (BAD + EACH, ("test_some.py::test_good",), 0, "1 passed"),
+        ("test_some.py::test_bad | a cause", (), 4, "not `test | cause | issue`"),
+        (BAD + BAD, (), 4, "twice"),
+    ],
+)
+def test_what_is_listed_is_passed_over_and_what_is_not_fails(
+    tmp_path: Path, red: str, arguments: tuple[str, ...], status: int, said: str
+) -> None:
+    found, out = run(tmp_path, red, *arguments)
+    assert (found, said in out) == (status, True), out
+
+
+def test_there_are_three_at_most() -> None:
+    lines = [f"test_some.py::test_{n} | cause | issue" for n in range(4)]
+    assert len(read("\n".join(lines[:3]))) == 3
+    with pytest.raises(ValueError, match="3 at most"):
+        read("\n".join(lines))
