--- a/linetrack/decide/takeover.py
+++ b/linetrack/decide/takeover.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 
 VERSION = 1  # of what is said over the link; another one is not understood
 MS, SECOND = 1000, 1_000_000
@@ -21,10 +23,29 @@
 NEVER = 1 << 62
 
 
+@dataclass(slots=True, frozen=True)
+class Identity:
+    """Whose process it is, beside its name and address."""
+
+    classes: tuple[str, ...]
+    settings: str  # a digest
+
+    def told(self) -> dict[str, Any]:
+        return {"classes": self.classes, "settings": self.settings}
+
+    def foreign(self, told: object) -> bool:
+        """Whether what the other side told of itself is another customer's: other settings, and no class in
+        common.  One of an earlier version tells nothing, and one whose settings have changed keeps some."""
+        if not isinstance(told, dict) or not isinstance(theirs := told.get("classes"), list):
+            return False
+        return told.get("settings") != self.settings and not any(name in self.classes for name in theirs)
+
+
 class Do(Enum):
     # the old process
     GRANT = "give the listening socket and the list"
     SAY_BUSY = "tell the caller to come again, and close"
+    SAY_FOREIGN = "tell the caller that this is another one's process, and close"
     CLOSE = "close the link"
     BEAT = "say that this side still serves"
     HAND_ON = "accept no more, tell what was learnt, hand the connections over"
@@ -52,7 +73,10 @@
     def __init__(self) -> None:
         self.state, self.due, self.limit = self.State.SERVING, NEVER, NEVER
 
-    def called(self, now: int, version: object) -> list[Do]:
+    def called(self, now: int, version: object, foreign: bool = False) -> list[Do]:
+        if foreign:
+            # guards against a customer served, and its list and ids known, by another one's process
+            return [Do.SAY_FOREIGN]
         if self.state is not self.State.SERVING:
             return [Do.SAY_BUSY]
         if version != VERSION:
@@ -109,7 +133,7 @@
 
     def __init__(self, now: int) -> None:
         self.state, self.due, self.until = self.State.CALLING, now, now + CALL_FOR
-        self.prepared_ = False
+        self.prepared_ = self.met_stranger = False
 
     def start(self, now: int) -> list[Do]:
         self.due = now + GRANTED_WITHIN
@@ -120,6 +144,11 @@
         self.state, self.due = self.State.ALONE, NEVER
         return [Do.LISTEN]
 
+    def stranger(self) -> list[Do]:
+        """Whoever is found there is another customer's, which stays as it is and found."""
+        self.met_stranger = True
+        return self.nobody()
+
     def taken(self, now: int) -> list[Do]:
         """Nobody was found and the address is not free: whoever has it may be about to be found."""
         # guards against a call that met the old process as it ended, before its successor could be found
--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -26,7 +26,7 @@
 from linetrack.net import messages
 from linetrack.net.budget import SMALL, Budget
 from linetrack.net.clock import NEVER, clock
-from linetrack.net.connection import READ_SIZE, Stream, broken, ended, readable, write
+from linetrack.net.connection import READ_SIZE, Side, Stream, other_side, readable, write
 from linetrack.net.messages import ClientRequest, Framing, MalformedError, RequestReader
 from linetrack.net.owner import Final, Left, Owner, Taken
 
@@ -47,6 +47,9 @@
 LAST_WORD = 500_000  # microseconds in which a client that was turned away may read why
 LAST_BYTES = 256 * 1024  # and how much of what it still sends is read away meanwhile
 READ = 1  # the event loop's name for it
+# microseconds after its request in which one that sends no more, as it had said, is still sent on for: it may
+# have closed its own side only, and what begins over 0.1 s after a client has left is not to begin
+SHUT_FOR = 80_000
 
 
 class Passed(Exception):  # noqa: N818
@@ -222,26 +225,41 @@
             raise MalformedError(f"class, id or deadline of {request.path[:80]!r}", arrival)
         self.clients.places.asked(self.seat, self.seen)
         result: AsyncResult[Final | None] = AsyncResult()
-        self.clients.owner.put(Taken(request, arrival, result.set), self.seen)
+        gone = partial(self._gone, arrival.request, result, request.keep, self.seen)
+        self.clients.owner.put(Taken(request, arrival, result.set, gone), self.seen)
         if isinstance(upload := request.rest, Upload):
             upload.left = partial(self._left, arrival.request, result)
+            upload.came = partial(self.watch.start, self._look, gone)
         else:
-            self.watch.start(self._look, arrival.request, result, request.keep)
+            self.watch.start(self._look, gone)
         try:
             final = result.get()
         finally:
             self.watch.stop()
+            self.clients.unread.pop(self, None)
             self.clients.over(request.trace)
         if isinstance(upload, Upload) and upload.fault is not None:
             raise upload.fault
         return final is not None and self._answer(request, final)
 
-    def _look(self, number: int, result: AsyncResult[Final | None], keep: bool) -> None:
+    def _look(self, gone: Callable[[], bool]) -> None:
         """While the request is out something came: a client that closes has gone away, and the owner is told.
-        One that said that nothing more would come may have closed its own side only."""
+        What is no end stays unread, and would hide one that comes behind it: the sweep looks from here on."""
         self.watch.stop()
-        if (ended if keep else broken)(self.sock) and not result.ready():
+        if not gone():
+            self.clients.unread[self] = gone
+
+    def _gone(self, number: int, result: AsyncResult[Final | None], keep: bool, seen: int) -> bool:
+        """Whether the client has left, as far as its socket shows; then the owner hears so ahead of whatever
+        is told later.  One that said that nothing more would come (`keep` is False) may have closed its own
+        side only, and is owed an answer; but nothing more is begun for it once it may as well have gone."""
+        if result.ready():
+            return True
+        side = other_side(self.sock)
+        if side is Side.BROKEN or (keep and side is Side.SHUT):
             self._left(number, result)
+            return True
+        return side is Side.SHUT and clock() - seen > SHUT_FOR
 
     def _left(self, number: int, result: AsyncResult[Final | None]) -> None:
         self.clients.owner.put(Left(number), clock())
@@ -354,6 +372,7 @@
         self.fault: OSError | MalformedError | None = None
         self.waited = 0  # microseconds for the client
         self.left: Callable[[], None] = lambda: None  # called once it breaks off
+        self.came: Callable[[], None] = lambda: None  # called once it is whole
 
     def next(self) -> list[bytes | bytearray]:
         """Wait for what comes next; nothing once it is whole.  An OSError or a MalformedError where it breaks
@@ -379,6 +398,9 @@
             self.fault = fault
             self.left()
             raise
+        if request.whole:
+            came, self.came = self.came, lambda: None
+            came()
         return parts
 
     def _come(self) -> list[bytes | bytearray]:
@@ -405,6 +427,8 @@
         self.set(classes, deadlines)
         self.places = Places(budget.callers)
         self.open: dict[Seat, Client] = {}
+        # whose request is out with something unread behind it, and how to see whether it has left
+        self.unread: dict[Client, Callable[[], bool]] = {}
         budget.make_way = self._make_room
         # the ids of open requests and of those lately over: a copy may have been sent meanwhile
         self.ids: set[str] = set()
@@ -505,15 +529,23 @@
         turn = 0
         while True:
             gevent.sleep(SWEEP)
-            now = clock()
-            for client in [client for client in self.open.values() if client.due <= now]:
-                client.out_of_time()
-            while self._close_one(self.places.lets_go):
-                pass
+            self.look(clock())
             turn += 1
             if turn * SWEEP * 1_000_000 >= WITHIN:
                 turn, self.lately = 0, (set(), self.lately[0])
 
+    def look(self, now: int) -> None:
+        """Close whoever is out of time or no longer worth a place, and see who has left."""
+        for client in [client for client in self.open.values() if client.due <= now]:
+            # guards against closing under what has come in the very moment in which its time was over
+            if client.busy or client.reader.open or not readable(client.sock):
+                client.out_of_time()
+        for client, gone in list(self.unread.items()):
+            if gone():
+                self.unread.pop(client, None)
+        while self._close_one(self.places.lets_go):
+            pass
+
     def over(self, trace: str) -> None:
         mark = _mark(trace)
         self.ids.discard(mark)
@@ -553,11 +585,17 @@
             return judged
         steps, mark, klass, patience = judged
         request.klass = steps[0]
+        # guards against a request that comes late in this process's end and outlasts it
+        patience = min(patience, self.deadlines[klass], self.owner.ends - clock())
+        if patience <= 0:
+            self.owner.figures.taken += 1
+            self.owner.figures.over(request.klass, Fate.THROTTLED)
+            return 503
         self.ids.add(mark)
         return Arrival(
             self.owner.number(),
             klass,
-            min(patience, self.deadlines[klass]),
+            patience,
             _whole(request.props.get("party", "")),
             steps[-1] if len(steps) > 1 else "",
             _whole(request.props.get("workUs", "")),
@@ -582,14 +620,21 @@
         return [*self.ids, *self.lately[0], *self.lately[1]]
 
     def stop_accepting(self) -> None:
-        """Take what still stands in the backlog, then close the listener."""
+        """Take what still stands in the backlog, then close the listener.
+
+        Guards against a request that has come there and is lost because others hold all the places: there is
+        time until the process's end for one of them to make way."""
         assert self.listener is not None
         self.listener.setblocking(False)
-        while self.budget.take_client():
+        while readable(self.listener) and clock() < self.owner.ends:
+            if not self.budget.take_client():
+                gevent.sleep(0 if self._make_room() else ROOM_WAIT)
+                continue
             try:
                 self._take_one()
-            except OSError:
-                break
+            except OSError as fault:
+                log.error("accept_failed", fault=str(fault))
+                gevent.sleep(ROOM_WAIT)
         self.listener.close()
 
     def close_between_requests(self) -> None:
--- a/linetrack/net/config.py
+++ b/linetrack/net/config.py
@@ -10,6 +10,7 @@
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from hashlib import blake2b
 from typing import Any
 
 from linetrack.interface import Settings
@@ -73,6 +74,13 @@
         same = replace(self, discovery=other.discovery, seed=other.seed, known=other.known, said=other.said)
         return same == other
 
+    @property
+    def digest(self) -> str:
+        """Stands for all that decisions go by, names with their numbers: the same in two processes of one
+        sidecar under the same settings, whatever else their files say."""
+        told = (self.settings, self.class_names, self.zone_names, self.kind_names, self.report_fields)
+        return blake2b(repr(told).encode(), digest_size=16).hexdigest()
+
     @property
     def deadlines(self) -> tuple[int, ...]:
         return tuple(klass.deadline for klass in self.settings.classes)
--- a/linetrack/net/connection.py
+++ b/linetrack/net/connection.py
@@ -7,6 +7,7 @@
 
 import select
 from collections.abc import Callable
+from enum import Enum
 
 from gevent import socket
 from gevent.event import AsyncResult
@@ -115,25 +116,32 @@
         sock.sendall(memoryview(data)[sent:])
 
 
-def _shows(sock: socket.socket, events: int) -> bool:
-    """Whether one of these has come, without waiting; a socket already closed here shows anything."""
+def _shows(sock: socket.socket, events: int) -> int:
+    """Which of these have come, without waiting, also that the connection is broken; a socket already closed
+    here shows all of them."""
     if sock.fileno() < 0:
-        return True
+        return events | select.POLLHUP
     poll = select.poll()
     poll.register(sock.fileno(), events | select.POLLHUP | select.POLLERR)
-    return bool(poll.poll(0))
+    return sum(shown for _, shown in poll.poll(0))
 
 
 def readable(sock: socket.socket) -> bool:
     """Whether a read would not wait: bytes or the end have come, or the socket is already closed here."""
-    return _shows(sock, select.POLLIN)
+    return bool(_shows(sock, select.POLLIN))
 
 
-def broken(sock: socket.socket) -> bool:
-    """Whether nothing can be sent to the other side any more."""
-    return _shows(sock, 0)
+class Side(Enum):
+    """What the other side of a connection has done with it, whatever it sent before."""
 
+    OPEN = "open"
+    SHUT = "sends no more: it may have closed, or may still read"
+    BROKEN = "nothing can be sent to it any more"
 
-def ended(sock: socket.socket) -> bool:
-    """Whether the other side has closed its end, whatever it may have sent before."""
-    return _shows(sock, select.POLLRDHUP)
+
+def other_side(sock: socket.socket) -> Side:
+    """As far as can be seen without waiting."""
+    shown = _shows(sock, select.POLLRDHUP)
+    if shown & ~select.POLLRDHUP:
+        return Side.BROKEN
+    return Side.SHUT if shown else Side.OPEN
--- a/linetrack/net/owner.py
+++ b/linetrack/net/owner.py
@@ -50,11 +50,17 @@
     """Nobody waits any more."""
 
 
+def _stays() -> bool:
+    """Of a client that cannot be looked at."""
+    return False
+
+
 class Open:
     """A request from the moment it is taken until it is over and its last attempt has ended."""
 
     __slots__ = (
         "attempts",
+        "gone",
         "held",
         "klass",
         "number",
@@ -67,8 +73,14 @@
     )
 
     def __init__(
-        self, arrival: i.Arrival, request: ClientRequest, seen: int, reply: Callable[[Final], None]
+        self,
+        arrival: i.Arrival,
+        request: ClientRequest,
+        seen: int,
+        reply: Callable[[Final], None],
+        gone: Callable[[], bool] = _stays,
     ) -> None:
+        self.gone = gone  # whether its client is seen to have left: asked before the first byte of an attempt
         self.number, self.patience, self.held = arrival.request, arrival.patience, arrival.held
         self.request, self.reply, self.klass = request, reply, request.klass
         # a body that goes on as it comes has limits of its own; the request's time begins with its last byte
@@ -106,6 +118,7 @@
     request: ClientRequest
     arrival: i.Arrival
     reply: Callable[[Final], None]
+    gone: Callable[[], bool] = _stays
 
 
 @dataclass(slots=True, frozen=True)
@@ -171,6 +184,7 @@
         self.order = count()
         self.numbers = count(1)
         self.figures = figures or Figures()
+        self.ends = NEVER  # once the process is to end: when all that it has taken is to be answered
 
     def put(self, item: Item, seen: int) -> None:
         """Called from any greenlet: `seen` is when the socket showed it."""
@@ -225,9 +239,9 @@
 
     def _step(self, seen: int, what: Item) -> None:
         match what:
-            case Taken(request, arrival, reply):
+            case Taken(request, arrival, reply, gone):
                 self.figures.taken += 1
-                self.open[arrival.request] = Open(arrival, request, seen, reply)
+                self.open[arrival.request] = Open(arrival, request, seen, reply, gone)
                 self._handle(seen, arrival)
             case Done():
                 self._done(seen, what)
@@ -256,7 +270,7 @@
             return
         attempt.sent = seen
         if not open_.held:
-            open_.until = attempt.until = seen + open_.patience
+            open_.until = attempt.until = min(seen + open_.patience, self.ends)
             self._set(attempt.until, attempt)
         self._handle(seen, i.Written(open_.number, attempt.number))
 
@@ -337,7 +351,7 @@
         if open_.over and all(attempt.ended for attempt in open_.attempts):
             self.open.pop(open_.number, None)
             # the timers of its attempts still stand: they must not hold the bodies until they are due
-            open_.request, open_.reply = NOTHING, _to_nobody
+            open_.request, open_.reply, open_.gone = NOTHING, _to_nobody, _stays
 
     def _handle(self, now: int, event: i.Event) -> None:
         self.now = max(self.now, now)
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -23,7 +23,7 @@
 
 from linetrack.decide.figures import Figures
 from linetrack.decide.handover import Handover
-from linetrack.decide.takeover import Do
+from linetrack.decide.takeover import Do, Identity
 from linetrack.net import messages
 from linetrack.net.admin import Admin
 from linetrack.net.budget import Budget
@@ -42,6 +42,7 @@
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect
 LAST_WORD = 0.1  # seconds after the last answer, for the last bytes to be taken
 LOOK = 0.01  # seconds between looks whether all is answered
+LIST_WITHIN = 4_000_000  # microseconds after which a process serves without an answer of discovery
 LINE_EVERY = 1_000_000  # microseconds between two log lines of one event
 GC_THRESHOLD = 20_000  # a collection costs milliseconds: seldom, over what is young only
 TIDY = 5.0  # seconds between collections over all that came since the start, so that memory stays level
@@ -138,8 +139,7 @@
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
         if self.discovery.calls.pushed:
-            # guards against sends by a list from before the start: what discovery has binds at once here
-            self.discovery.heard.wait()
+            self._hear_list()
         self._enter(Phase.SERVING)
         if taking is not None:
             must_live("takeover", taking.follow)
@@ -149,12 +149,15 @@
         if self.giving is not None:
             self.giving.leave()
         limit = began + self.longest + int((STILL_COMING + LAST_WORD) * 1_000_000)
+        self.owner.ends = limit - int(LAST_WORD * 1_000_000)
         if self.handed is not Do.HAND_ON or not self._until_handed(limit):
             # no successor, or it ended meanwhile
             if self.accepting is not None:
                 # one that never accepted leaves the queue to the process whose it is
                 gevent.sleep(STILL_COMING)
                 self._stop_accepting()
+                # first, so that there is room for what stands in the backlog
+                self.clients.close_between_requests()
                 self.clients.stop_accepting()
             self.clients.close_between_requests()
             self._enter(Phase.EMPTYING)
@@ -163,17 +166,35 @@
         self._enter(Phase.ENDED)
         return 0
 
+    def _hear_list(self) -> None:
+        """Where lists are pushed, wait for discovery's answer.
+
+        Guards against sends by a list from before the start: what discovery has binds at once there.  It is
+        called by all that start together, and may be cut off: one that has not answered for so long is taken
+        to be out of reach, and one that is down has nothing to tell; then the list of the configuration is
+        all that there is."""
+        limit = clock() + LIST_WITHIN
+        while not (self.discovery.heard.is_set() or self.leave.is_set()):
+            if clock() >= limit:
+                log.warning("list_unheard", entries=len(self.upstreams.known))
+                return
+            gevent.sleep(LOOK)
+
     # --- Taking another process's place, and giving this one's ---------------------------------------
     def _listen(self) -> tuple[Taking | None, MemberList]:
         """Open the listener, or have it from the process that serves; and the list, as that one has it."""
         config = self.config
-        path = meeting_place(os.environ.get("TMPDIR", ""), config.listen)
+        path = meeting_place(os.environ.get("TMPDIR", ""), config.name, config.listen)
         if path is None:
             self.clients.listen(config.listen)
             return None, config.known
-        self.giving = Giving(path, self._grant, self._act)
-        taking = Taking(path, self._act, self._told)
+        self.giving = Giving(path, self._identity, self._grant, self._act)
+        taking = Taking(path, self._identity(), self._act, self._told)
         while (granted := taking.call()) is None:
+            if taking.steps.met_stranger:
+                # guards against standing in another customer's place for those that look for its process
+                log.warning("takeover_foreign", path=str(path))
+                self.giving = None
             self._prepare_to_give()
             try:
                 self.clients.listen(config.listen, beside=self.giving is None)
@@ -190,7 +211,7 @@
                 return None, config.known
         fd, values = granted
         self.clients.listener = socket.socket(fileno=fd)
-        return taking, _list(values, config.known)
+        return taking, self._list(values)
 
     def _prepare_to_give(self) -> None:
         try:
@@ -214,7 +235,23 @@
         assert self.clients.listener is not None
         members = messages.encode_members(self.upstreams.members())
         told = {"version": self.discovery.version or 0, "full": True, "servers": members}
-        return self.clients.listener.fileno(), {"list": told}
+        return self.clients.listener.fileno(), {"list": told, "discovery": list(self.discovery.address)}
+
+    def _identity(self) -> Identity:
+        """What another process is told of this one, to see what it may have of it."""
+        return Identity(self.config.class_names, self.config.digest)
+
+    def _list(self, values: Mapping[str, Any]) -> MemberList:
+        """The list as the other process has it; the one of the configuration where that makes no sense, or is
+        of another discovery, whose versions are its own."""
+        if values.get("discovery", list(self.config.discovery)) != list(self.config.discovery):
+            log.warning("takeover_list_left", discovery=values["discovery"])
+            return self.config.known
+        try:
+            return messages.member_list(values.get("list"))
+        except MalformedError as fault:
+            log.warning("takeover_list_faulty", fault=str(fault))
+            return self.config.known
 
     def _accept(self) -> None:
         self.accepting = must_live("listener", self.clients.accept)
@@ -238,6 +275,8 @@
             case Do.HAND_ON:
                 self._hand_on()
             case Do.KEEP:
+                # guards against having no room for those who come back from a successor that has ended
+                self.budget.whole()
                 self.handover.alone(clock())
                 self.clients.passes = None
                 self._accept()
@@ -247,7 +286,7 @@
     def _hand_on(self) -> None:
         """Whoever comes is the successor's from here on, and so is what this process knows."""
         assert self.giving is not None and self.giving.link is not None
-        link, config = self.giving.link, self.config
+        link = self.giving.link
         self._stop_accepting()
         self.upstreams.close_all_idle()
         link.say(
@@ -255,8 +294,7 @@
             sockets=self.budget.leave_to_successor(),
             ids=self.clients.marks(),
             learnt=self.handover.learnt(),
-            classes=config.class_names,
-            places=[config.zone_names, config.kind_names],
+            settings=self.config.digest,
         )
 
         def passes(fd: int, answers: int) -> bool:
@@ -284,10 +322,11 @@
             case "leave":
                 self.budget.share(values["sockets"])
                 self.clients.lately[0].update(values["ids"])
-                same = tuple(values["classes"]) == self.config.class_names
-                places = [list(self.config.zone_names), list(self.config.kind_names)] == values["places"]
-                taken = self.told_all = self.handover.restore(values["learnt"], clock(), same, places)
-                log.info("takeover_told", learnt=taken, ids=len(values["ids"]))
+                # guards against taking over under one number what was learnt of another class or place: what
+                # does not go by name goes over under the very same settings only
+                same = values.get("settings") == self.config.digest
+                taken = self.told_all = self.handover.restore(values["learnt"], clock(), same, same)
+                log.info("takeover_told", learnt=taken, same_settings=same, ids=len(values["ids"]))
 
     def _reload(self) -> None:
         """Each time SIGHUP has come, the file is read again, whole, and then applied; for ever."""
@@ -327,15 +366,6 @@
         log.info("settings_switched", still_open=still, classes=new.class_names, **self.figures.totals())
 
 
-def _list(values: Mapping[str, Any], known: MemberList) -> MemberList:
-    """The list as the other process has it; the one of the configuration where that makes no sense."""
-    try:
-        return messages.member_list(values.get("list"))
-    except MalformedError as fault:
-        log.warning("takeover_list_faulty", fault=str(fault))
-        return known
-
-
 def _say_streams(config: Config) -> None:
     if config.told_streams > STREAMS:
         log.warning("multiplex_unused", told=config.told_streams, used=STREAMS)
--- a/linetrack/net/takeover.py
+++ b/linetrack/net/takeover.py
@@ -9,11 +9,13 @@
 
 import array
 import contextlib
+import errno
 import json
 import os
 import struct
 from collections import deque
 from collections.abc import Callable
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +24,7 @@
 from gevent import socket
 from gevent.lock import Semaphore
 
-from linetrack.decide.takeover import NEVER, VERSION, Do, New, Old
+from linetrack.decide.takeover import NEVER, VERSION, Do, Identity, New, Old
 from linetrack.net.clock import clock
 
 log = structlog.get_logger()
@@ -31,6 +33,7 @@
 MOST_FRAME = 16 * 1024 * 1024  # bytes: thousands of upstreams with room to spare
 MOST_FDS = 16  # that come with one frame
 WRITE_WITHIN = 0.5  # seconds for the other side to take a frame
+MOST_CALLERS = 4  # at once, one of which may take over; their descriptors are in the budget's reserve
 CALLED_WITHIN = 1.0  # seconds for a caller to say what it is
 LOOK = 0.05  # seconds between looks at what is due
 CREDENTIALS = "3i"
@@ -102,20 +105,35 @@
             os.close(self.fds.popleft())
 
 
-def meeting_place(folder: str, listen: tuple[str, int]) -> Path | None:
-    """Where the processes that share a clients' address find one another; None where there is no folder."""
-    return Path(folder) / f"linetrack-{listen[0]}-{listen[1]}.sock" if folder else None
+def meeting_place(folder: str, name: str, listen: tuple[str, int]) -> Path | None:
+    """Where the processes of one sidecar find one another; None where there is no folder.
+
+    Guards against finding another one's that has the same name or address in the same folder: an address is
+    one of its network, which processes on one machine need not share."""
+    if not folder:
+        return None
+    try:
+        network = os.stat("/proc/self/ns/net").st_ino
+    except OSError:
+        network = 0
+    mark = blake2b(json.dumps([name, *listen, network]).encode(), digest_size=8).hexdigest()
+    return Path(folder) / f"linetrack-{mark}.sock"
 
 
 class Giving:
     """The side that serves: found by the next process, which it prepares for its place."""
 
     def __init__(
-        self, path: Path, grant: Callable[[], tuple[int, dict[str, Any]]], act: Callable[[Do], None]
+        self,
+        path: Path,
+        identity: Callable[[], Identity],
+        grant: Callable[[], tuple[int, dict[str, Any]]],
+        act: Callable[[Do], None],
     ) -> None:
-        """`grant` gives the listening socket's descriptor and what goes with it; `act` does what only the
-        program can."""
-        self.path, self.grant, self.act = path, grant, act
+        """`identity` tells whose process this is; `grant` gives the listening socket's descriptor and what
+        goes with it; `act` does what only the program can."""
+        self.path, self.identity, self.grant, self.act = path, identity, grant, act
+        self.callers = 0
         self.own = path.with_suffix(f".{os.getpid()}")
         self.steps = Old()
         self.link: Link | None = None
@@ -151,8 +169,19 @@
         assert self.listener is not None
         gevent.spawn(self._watch)
         while True:
-            sock, _ = self.listener.accept()
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as fault:
+                # guards against ending with the process where no descriptor is left
+                if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
+                    raise
+                gevent.sleep(LOOK)
+                continue
+            self.callers += 1
             gevent.spawn(self._caller, sock)
+            while self.callers >= MOST_CALLERS:
+                # guards against callers that use up the descriptors: each says in time what it is
+                gevent.sleep(LOOK)
 
     def _watch(self) -> None:
         while True:
@@ -170,20 +199,23 @@
                 heard = link.hear()
             if heard is None or uid != os.getuid():
                 return
-            do = self.steps.called(clock(), heard[0].get("version"))
+            do = self.steps.called(
+                clock(), heard[0].get("version"), self.identity().foreign(heard[0].get("identity"))
+            )
             if Do.GRANT not in do:
-                link.say("busy" if Do.SAY_BUSY in do else "no")
+                link.say("busy" if Do.SAY_BUSY in do else "foreign" if Do.SAY_FOREIGN in do else "no")
                 return
             self.link = link
             log.info("takeover_called")
             fd, values = self.grant()
-            if link.say("grant", (fd,), **values):
+            if link.say("grant", (fd,), identity=self.identity().told(), **values):
                 self._listen(link)
         except (OSError, LinkError) as fault:
             log.warning("takeover_caller_faulty", fault=str(fault))
         except Exception:
             log.exception("takeover_broke")
         finally:
+            self.callers -= 1
             link.close()
             if self.link is link:
                 self.link = None
@@ -214,10 +246,15 @@
     """The side that takes over."""
 
     def __init__(
-        self, path: Path, act: Callable[[Do], None], told: Callable[[str, dict[str, Any], list[int]], None]
+        self,
+        path: Path,
+        identity: Identity,
+        act: Callable[[Do], None],
+        told: Callable[[str, dict[str, Any], list[int]], None],
     ):
-        """`act` does what only the program can; `told` is given what came over, with its descriptors."""
-        self.path, self.act, self.told = path, act, told
+        """`identity` is whose process this is; `act` does what only the program can; `told` is given what
+        came over, with its descriptors."""
+        self.path, self.identity, self.act, self.told = path, identity, act, told
         self.steps = New(clock())
         self.link: Link | None = None
 
@@ -251,15 +288,24 @@
             link = Link(sock)
             with gevent.Timeout(max(0, self.steps.due - clock()) / 1_000_000, OSError("no answer")):
                 sock.connect(str(self.path))
-                heard = link.hear() if link.say("hello", version=VERSION, pid=os.getpid()) else None
+                own = self.identity.told()
+                greeted = link.say("hello", version=VERSION, pid=os.getpid(), identity=own)
+                heard = link.hear() if greeted else None
         except (OSError, LinkError) as fault:
             log.info("takeover_nobody", fault=str(fault))
-        if link is not None and heard is not None and heard[0]["what"] == "grant" and len(heard[1]) == 1:
+        values, fds = heard or ({}, [])
+        what, foreign = values.get("what"), self.identity.foreign(values.get("identity"))
+        if link is not None and what == "grant" and len(fds) == 1 and not foreign:
             self.link = link
-            return heard[1][0], heard[0]
+            return fds[0], values
+        for fd in fds:
+            os.close(fd)
         if link is not None:
             link.close()
-        if heard is None:
+        foreign = foreign or what == "foreign"
+        if foreign:
+            self.steps.stranger()
+        elif heard is None:
             self.steps.nobody()
         else:
             self.steps.busy(clock())
--- a/linetrack/net/upstreams.py
+++ b/linetrack/net/upstreams.py
@@ -299,10 +299,12 @@
         self._finish(attempt, outcome, answer, attempt.sent + latency)
 
     def _forbidden(self, attempt: Attempt, known: Known) -> bool:
-        """Whether, while it dialled or waited, the upstream began to drain, or its request or time ended."""
+        """Whether, while it dialled or waited, the upstream began to drain, its client left, or its request
+        or time ended."""
         if attempt.ended or attempt.open.over or known.health is not Health.UP:
             return True
-        return clock() >= min(attempt.until, attempt.by)
+        # guards against sends for a client whose leaving still stands in the owner's queue, or was not seen
+        return clock() >= min(attempt.until, attempt.by) or attempt.open.gone()
 
     def _dial(self, attempt: Attempt, known: Known) -> Connection | None:
         """A new connection; None where the attempt ended first, has been told so or could not connect."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 import errno
 import json
+import socket
 import time
 from collections.abc import Iterator
 from typing import Any, NoReturn
@@ -12,8 +13,8 @@
 from linetrack.decide import calls
 from linetrack.decide.calls import Fault
 from linetrack.interface import FleetNews, Health, ListForm, Settings
-from linetrack.net import discovery as net_discovery
 from linetrack.net.budget import Budget
+from linetrack.net.connection import Connection
 from linetrack.net.discovery import Discovery
 from linetrack.net.messages import address, member_list
 from linetrack.net.upstreams import Upstreams
@@ -254,17 +255,30 @@
     other.close()
 
 
+def test_a_watch_that_dies_with_its_news_half_read_is_followed_at_once(watched: Watched) -> None:
+    """Guards against half of a list taken for all of it, and against a wait with the other half missing."""
+    news = listed(2, False, entry("a", state="DRAINING"), entry("b", state="DRAINING"))
+    watched.discovery.calls.again = LONG
+    watched.server.scripted = [news[:-30]]
+    watched.start()
+    turns_until(lambda: watched.server.calls)
+    watched.server.change(entry("b", state="DRAINING"))
+    watched.server.connections[0].shutdown(socket.SHUT_RDWR)
+    assert watched.forms(2)[1] is ListForm.CHANGES
+    assert watched.failed == [Fault.CUT] and "hold_ms=0" in watched.server.calls[1]
+    assert [e.upstream for e in watched.told[1].entries] == ["b"]
+
+
 def test_without_a_descriptor_for_its_call_the_process_goes_on(
     watched: Watched, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a process that ends because its clients left no descriptor for a call to discovery."""
-    made = net_discovery.Connection
 
     def none_left(*args: object) -> NoReturn:
-        monkeypatch.setattr(net_discovery, "Connection", made)
+        monkeypatch.setattr("linetrack.net.discovery.Connection", Connection)
         raise OSError(errno.EMFILE, "Too many open files")
 
-    monkeypatch.setattr(net_discovery, "Connection", none_left)
+    monkeypatch.setattr("linetrack.net.discovery.Connection", none_left)
     watched.start()
     turns_until(lambda: watched.failed)
     assert watched.failed == [Fault.DOWN]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,7 +13,7 @@
 from linetrack.net import clients as clients_module
 from linetrack.net.budget import CLIENT_KB, FEWEST, PROGRAM_MB, Budget
 from linetrack.net.clients import Clients
-from linetrack.net.clock import clock
+from linetrack.net.clock import NEVER, clock
 from linetrack.net.connection import readable
 from linetrack.net.messages import ClientRequest
 from linetrack.net.owner import Final
@@ -88,6 +88,7 @@
 
     def __init__(self) -> None:
         self.told: list[Any] = []
+        self.ends = NEVER
 
     def number(self) -> int:
         return 1
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -402,6 +402,56 @@
             wire.sock.close()
 
 
+def test_where_lists_are_pushed_nothing_goes_by_a_list_from_before_the_start(tmp_path: Path) -> None:
+    """Guards against readiness at the first call that discovery, which all that start together call at once,
+    turns away: what it has counts as told from the first moment of a new process."""
+    a, b = Upstream("a"), Upstream("b")
+    world = World(tmp_path, a, b)
+    world.sidecar.config["settings"]["registryMode"] = "automatic"
+    world.discovery.entries = [a.entry(state="DRAINING"), b.entry()]
+    world.discovery.version = 2
+    away, listed = answer(b"", 503), {"version": 2, "full": True, "servers": world.discovery.entries}
+    world.discovery.scripted = [away, answer(b"no list"), away, answer(json.dumps(listed).encode())]
+    with world as sidecar:
+        assert {sidecar.ask().body for _ in range(20)} == {b"b"}
+        assert not a.seen and "list_unheard" not in sidecar.log()
+
+
+def test_where_lists_are_pushed_a_start_is_ready_though_discovery_never_answers(tmp_path: Path) -> None:
+    """Guards against a process that is never ready because a way that is cut says nothing."""
+    world = World(tmp_path, Upstream("a"))
+    world.sidecar.config["settings"]["registryMode"] = "automatic"
+    world.discovery.scripted = [b""] * 100
+    with world as sidecar:
+        assert sidecar.ask().status == 200 and "list_unheard" in sidecar.log()
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_out_neither_discovery_nor_calls(
+    tmp_path: Path,
+) -> None:
+    """While discovery is down.  Guards against a process that ends, or goes on by an old list, because its
+    clients left no descriptor for a call."""
+    a, b = Upstream("a"), Upstream("b")
+    world = World(tmp_path, a, b)
+    world.discovery.scripted = [None] * 10_000
+    world.sidecar.config["limits"]["sockets"] = 96
+    world.sidecar.prefix = "ulimit -n 96; "
+    with world as sidecar:
+        idlers = [sidecar.connect() for _ in range(150)]
+        for wire in idlers[::2]:
+            wire.sock.sendall(b"GET /look")
+        calls = len(world.discovery.calls)
+        until(lambda: len(world.discovery.calls) > calls + 1, "called while it is down")
+        assert sidecar.ask().status == 200
+        world.discovery.change(a.entry(state="DRAINING"))
+        world.discovery.entries = [a.entry(state="DRAINING"), b.entry()]
+        world.discovery.scripted.clear()
+        until(lambda: {sidecar.ask().body for _ in range(10)} == {b"b"}, "what it tells at its return")
+        assert sidecar.process is not None and sidecar.process.poll() is None
+        for wire in idlers:
+            wire.sock.close()
+
+
 # --- Reload ----------------------------------------------------------------------------------------
 
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -133,6 +133,36 @@
         assert sidecar.end() == 0
 
 
+def test_a_file_that_comes_during_the_switch_to_another_is_the_one_in_force(tmp_path: Path) -> None:
+    """With requests open.  Guards against a signal that comes while the file before it is read or applied and
+    is taken for the same one, and against requests lost between two switches."""
+    let = threading.Event()
+
+    def held(message: Message, wire: Wire) -> bytes:
+        assert let.wait(20)
+        return answer(b"ok")
+
+    with World(tmp_path, server := Upstream("a", held)) as sidecar:
+        statuses: list[int] = []
+        threads = [
+            threading.Thread(target=lambda: statuses.append(sidecar.ask("look").status)) for _ in "123"
+        ]
+        for thread in threads:
+            thread.start()
+        until(lambda: len(server.seen) == 3)
+        values = moved(dict(sidecar.config))
+        for turn in range(6):
+            values["settings"]["classes"][1]["name"] = f"quote{turn}"
+            test_sidecar.reload(sidecar, json.dumps(values))
+        until(lambda: "quote5" in sidecar.log(), "the last file")
+        let.set()
+        for thread in threads:
+            thread.join()
+        assert statuses == [200] * 3 and sidecar.ask("quote5").status == 200
+        assert sidecar.ask("quote4").status == 400
+        assert sidecar.end() == 0
+
+
 def test_nothing_goes_to_a_draining_upstream_after_a_switch(tmp_path: Path) -> None:
     a, b = Upstream("a"), Upstream("b")
     world = World(tmp_path, a, b)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -19,11 +19,12 @@
 
 from linetrack.decide import snapshot
 from linetrack.decide.handover import avoided
-from linetrack.decide.takeover import READY_WITHIN, SECOND, SILENT, Do, New, Old
+from linetrack.decide.takeover import READY_WITHIN, SECOND, SILENT, Do, Identity, New, Old
 from linetrack.interface import Outcome
 from linetrack.rules import Balancer
 from tests.helpers import MS, SAFE, Driver
 from tests.stand_ins import (
+    Discovery,
     Message,
     Sidecar,
     Upstream,
@@ -153,6 +154,29 @@
         assert pair.old_accepts, "nobody is left but the old one"
 
 
+@pytest.mark.parametrize(
+    ("told", "foreign"),
+    [
+        ({"classes": ["look", "pay"], "settings": "1"}, False),
+        ({"classes": ["pay", "quote"], "settings": "2"}, False),  # retuned: a class dropped, one come
+        ({"classes": ["quote"], "settings": "1"}, False),
+        ({"classes": ["quote"], "settings": "2"}, True),
+        ({"classes": [], "settings": "2"}, True),
+        ({}, False),  # an earlier version, which tells nothing
+        (None, False),
+        ("look", False),
+        ({"classes": "look"}, False),
+    ],
+)
+def test_whose_process_it_is_goes_by_settings_and_classes(told: object, foreign: bool) -> None:
+    own = Identity(("look", "pay"), "1")
+    assert own.foreign(told) is foreign
+    assert not own.foreign(json.loads(json.dumps(own.told())))
+    old = Old()
+    assert old.called(0, 1, foreign) == [Do.SAY_FOREIGN if foreign else Do.GRANT]
+    assert old.called(0, 1, True) == [Do.SAY_FOREIGN]
+
+
 def test_a_second_caller_is_told_to_come_again_and_gives_up_in_time() -> None:
     old, new, now = Old(), New(0), 0
     assert old.called(0, 1) == [Do.GRANT] and old.called(0, 1) == [Do.SAY_BUSY]
@@ -484,3 +508,67 @@
         away.rename(path)
         new = pair.again()
         assert pair.old.end() == 0 and new.ask("pay").status == 200
+
+
+def renamed(values: dict[str, Any]) -> dict[str, Any]:
+    """Settings of another customer: other classes."""
+    other: dict[str, Any] = json.loads(json.dumps(values["settings"]))
+    for klass in other["classes"]:
+        klass["name"] = f"their-{klass['name']}"
+    return other
+
+
+def test_a_process_of_another_customer_gets_nothing_and_stands_in_nobodys_way(tmp_path: Path) -> None:
+    """The same name, address and folder, other settings.  Guards against one customer's process that takes
+    over, with the listener, the list and the ids, what is another's, or is found in its place."""
+    with Pairing(tmp_path, Upstream("a", slowly)) as pair:
+        theirs = pair.again(ready=False, settings=renamed(pair.old.config))
+        assert theirs.process and theirs.process.wait(20) == 1
+        log = theirs.log()
+        assert log.count("takeover_foreign") == 1 and "takeover_granted" not in log and "cannot_listen" in log
+        assert "takeover_called" not in pair.old.log()
+        assert pair.old.ask("pay").status == 200
+        new = pair.again()
+        assert pair.old.end() == 0 and new.ask("pay").status == 200
+
+
+def test_two_customers_with_one_folder_are_each_replaced_by_their_own(tmp_path: Path) -> None:
+    """Guards against one customer picking up another's settings: processes that start beside each other."""
+    ours, theirs = tmp_path / "ours", tmp_path / "theirs"
+    ours.mkdir()
+    theirs.mkdir()
+    with Pairing(ours, Upstream("a", slowly)) as one, contextlib.ExitStack() as ending:
+        other = Pairing(theirs, Upstream("b", slowly))
+        other.old.environ["TMPDIR"] = one.old.environ["TMPDIR"]
+        other.old.config["settings"] = renamed(other.old.config)
+        ending.enter_context(other)
+        assert len(list((ours / "t").glob("*.sock"))) == 2
+        newer, newest = one.again(ready=False), other.again(ready=False)
+        until(lambda: healthy(newer) and healthy(newest))
+        assert one.old.end() == 0 and other.old.end() == 0
+        assert newer.ask("pay").body == b"ok" and newest.ask("their-pay").body == b"ok"
+        assert newer.ask("their-pay").status == 400 and newest.ask("pay").status == 400
+        assert [len(server.seen) for server in (*one.world.upstreams, *other.world.upstreams)] == [1, 1]
+
+
+def test_a_list_of_another_discovery_and_what_goes_by_other_numbers_are_left_behind(tmp_path: Path) -> None:
+    """Its versions are its own: a watch from one of them on would never hear what the other one has."""
+    b = Upstream("b", slowly)
+    elsewhere = Discovery([b.entry()])
+    with Pairing(tmp_path, Upstream("a", slowly)) as pair:
+        pair.world.discovery.version = 50
+        pair.world.discovery.change(pair.world.upstreams[0].entry(weight=2.0))
+        values = json.loads(json.dumps(pair.old.config["settings"]))
+        values["azs"].reverse()
+        known = {"version": 0, "full": True, "servers": [b.entry()]}
+        new = pair.again(discovery=elsewhere.address, known=known, settings=values)
+        assert "takeover_list_left" in new.log()
+        assert pair.old.end() == 0
+        until(lambda: "takeover_told" in new.log())
+        assert '"same_settings": false' in new.log()
+        until(lambda: elsewhere.calls)
+        assert "from=0" in elsewhere.calls[0]
+        before = len(b.seen)
+        assert new.ask("pay").status == 200 and len(b.seen) == before + 1
+    elsewhere.close()
+    b.close()
