Whoever waits for an answer is not woken by what was meant for a wait for a request

Greenlet.kill(block=False) is carried out by the event loop later: the rest of a request, read in between, put its greenlet into the wait for its answer, and Passed (a replacement) or the 408 of a stalled request was raised there; the answer had nobody to take it. What is planned now looks again as it runs; the test fails without (the answer never came).

--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -137,12 +137,28 @@
 
     def out_of_time(self) -> None:
         """Called by the sweep: what waits for the client ends."""
-        if self.reader.open and not self.busy:
+        if self.stalls:
             # guards against a request that drips in for ever
-            self.greenlet.kill(MalformedError("the request stalled", 408), block=False)
+            self.wake(MalformedError("the request stalled", 408), lambda client: client.stalls)
         else:
             self.sock.close()
 
+    @property
+    def stalls(self) -> bool:
+        """It waits for the rest of a request."""
+        return self.reader.open and not self.busy
+
+    def wake(self, why: Exception, still: Callable[[Client], bool]) -> None:
+        """Raise this in its greenlet, if that still holds once the event loop comes to it.
+
+        Guards against a request that came whole meanwhile: whoever waits for its answer must not be woken."""
+
+        def now() -> None:
+            if still(self) and not self.greenlet.dead:
+                self.greenlet.throw(why)
+
+        self.clients.later(now)
+
     def _read(self) -> bool:
         """Read until at least one request is whole; False where the connection ends first."""
         while not self.whole:
@@ -437,6 +453,7 @@
         self.lately: tuple[set[str], set[str]] = (set(), set())
         self.closing = False
         self.listener: socket.socket | None = None
+        self.later = gevent.get_hub().loop.run_callback
 
     def set(self, classes: tuple[str, ...], deadlines: tuple[int, ...]) -> None:
         """The classes of what is read from here on, and their deadlines in microseconds."""
@@ -613,7 +630,7 @@
         gevent.sleep(0)
         for client in list(self.open.values()):
             if client.clean:
-                client.greenlet.kill(Passed(), block=False)
+                client.wake(Passed(), lambda client: client.clean)
 
     def marks(self) -> list[str]:
         """The ids that are open or were a moment ago."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -315,6 +315,33 @@
     turns_until(lambda: node.owner.open[number].until <= node.owner.ends)
 
 
+@pytest.mark.parametrize("ends", ["its time is over", "it goes to another process"])
+def test_a_request_that_becomes_whole_as_its_greenlet_is_to_be_woken_is_answered(
+    node: Node, ends: str
+) -> None:
+    """Guards against waking whoever waits for an answer by what was meant for one that waits for a request:
+    between the two the rest of a request may be read."""
+    wire = node.served()
+    client = client_side(node)
+    planned: list[Callable[[], None]] = []
+    later, node.clients.later = node.clients.later, planned.append
+    data = call(expires="20.0")
+    if ends == "its time is over":
+        wire.sendall(data[:20])
+        turns_until(lambda: client.reader.open)
+        client.out_of_time()
+        data = data[20:]
+    else:
+        node.clients.hand_on(lambda fd, answers: True)
+    (now,) = planned
+    number = node.ask(wire, data)
+    later(now)
+    gevent.sleep(0)
+    node.clients.passes = None
+    node.owner._act(Refuse(number, 0))
+    assert wire.recv(65536).startswith(b"HTTP/1.1 503")
+
+
 # --- An attempt that ends -----------------------------------------------------------------------------------
 
 
