--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -127,8 +127,7 @@
 @given(st.integers(0, 10**6))
 def test_a_discovery_that_is_down_is_called_often_enough_to_be_met_and_no_oftener(seed: int) -> None:
     """Whatever failed before, a change counts 6 s after discovery could be reached: waits that grew to half
-    of `ask_every` were too long.  A refused call costs discovery nothing; a sidecar makes 1.5 of them a
-    second at first and 0.7 from then on, 230 of them some 150 together."""
+    of `ask_every` were too long.  A refused call costs discovery nothing."""
     calls = Calls(ASKED, seed)
     call = calls.next(0)
     calls.due = None
