--- a/linetrack/decide/calls.py
+++ b/linetrack/decide/calls.py
@@ -25,7 +25,7 @@
 ON_WATCH = 200 * MS  # a watch goes on if called again within this
 
 # --- This program's ------------------------------------------------------------------------------
-HOLD = 20 * SECOND  # the longest wait of a watch; each waits for half of it at least, by lot
+LONG_POLL = 20 * SECOND  # the longest wait of a watch; each waits for half of it at least, by lot
 OVERDUE = 300 * MS  # an answer that is late by more than this will not come: sound ones are by 2 ms at most
 DIAL = 1500 * MS  # the longest dial: what is reached is reached at once
 ANSWER = (
@@ -60,7 +60,7 @@
     """One call to discovery.  Times in microseconds."""
 
     at: int  # when it is due
-    hold: int  # how long it waits for news; 0: it is answered at once
+    long_poll: int  # how long it waits for news; 0: it is answered at once
     limit: int  # until its answer must have begun, dial included where it is due at once
     dial: int  # of that, how long the connection may take to come up
     still: int  # how long an answer that has begun may stand still
@@ -97,9 +97,9 @@
         still, whole = min(WHOLE, STILL << fold), min(WHOLE_MOST, WHOLE << fold)
         if self.current:
             # guards against a fleet whose watches fell silent together and are all given up together
-            hold = int(HOLD * (1 + self.random.random()) / 2) // MS * MS
-            self.due = at + max(SILENCE, hold + AFTER_WAIT)
-            return Call(at, hold, hold + OVERDUE, DIAL, still, whole)
+            long_poll = int(LONG_POLL * (1 + self.random.random()) / 2) // MS * MS
+            self.due = at + max(SILENCE, long_poll + AFTER_WAIT)
+            return Call(at, long_poll, long_poll + OVERDUE, DIAL, still, whole)
         left = 0 if self.pushed else 2 * ANSWER if self.due is None else self.due - at
         # guards against a place in discovery's queue given up again and again
         limit = min(ANSWER, max(ANSWER_LEAST, left // 2) << fold)
@@ -108,7 +108,7 @@
     def answered(self, now: int, call: Call, news: bool) -> None:
         """Its answer has come whole; whether it told anything."""
         self.due, self.current, self.faults, self.again, self.at = None, True, 0, AGAIN, now
-        if call.hold and not news and now < call.at + call.hold:
+        if call.long_poll and not news and now < call.at + call.long_poll:
             # guards against calls without pause where discovery does not wait for news
             self.at = now + NO_NEWS
 
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -165,10 +165,12 @@
         """One call's answer, whole; a CallError where none comes in time."""
         fault = Fault.SILENT
         # a wait begins when discovery has been told of it, however long the dial took
-        since = clock() if call.hold else call.at
+        since = clock() if call.long_poll else call.at
         try:
             with gevent.Timeout(max(0, since + call.limit - clock()) / SECOND, TimeoutError("no answer")):
-                line.sock.sendall(messages.encode_list_call(self.address, self.version, call.hold // 1000))
+                line.sock.sendall(
+                    messages.encode_list_call(self.address, self.version, call.long_poll // 1000)
+                )
                 socket.wait_read(line.sock.fileno())
             fault = Fault.CUT
             with gevent.Timeout(call.whole / SECOND, TimeoutError("the answer takes too long")):
--- a/linetrack/net/takeover.py
+++ b/linetrack/net/hot_restart.py
@@ -1,8 +1,8 @@
 """The link between a process that serves and the one that takes its place: frames and descriptors.
 
 Owns the Unix socket in the folder that both share, what goes over the link, and the clock of its steps, which
-`linetrack/decide/takeover.py` decides.  Must never accept a client, nor touch a request: the program does, as
-it is told.
+`linetrack/decide/hot_restart.py` decides.  Must never accept a client, nor touch a request: the program does,
+as it is told.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 from gevent import socket
 from gevent.lock import Semaphore
 
-from linetrack.decide.takeover import NEVER, VERSION, Do, Identity, New, Old
+from linetrack.decide.hot_restart import NEVER, VERSION, Do, Identity, New, Old
 from linetrack.net.clock import clock
 
 log = structlog.get_logger()
@@ -63,7 +63,7 @@
                 if sent < len(data):
                     self.sock.sendall(memoryview(data)[sent:])
         except OSError as fault:
-            log.warning("takeover_link_broke", saying=what, fault=str(fault))
+            log.warning("hot_restart_link_broke", saying=what, fault=str(fault))
             self.close()
             return False
         return True
@@ -120,7 +120,7 @@
     return Path(folder) / f"linetrack-{mark}.sock"
 
 
-class Giving:
+class Predecessor:
     """The side that serves: found by the next process, which it prepares for its place."""
 
     def __init__(
@@ -206,26 +206,26 @@
                 link.say("busy" if Do.SAY_BUSY in do else "foreign" if Do.SAY_FOREIGN in do else "no")
                 return
             self.link = link
-            log.info("takeover_called")
+            log.info("hot_restart_called")
             fd, values = self.grant()
             if link.say("grant", (fd,), identity=self.identity().told(), **values):
                 self._listen(link)
         except (OSError, LinkError) as fault:
-            log.warning("takeover_caller_faulty", fault=str(fault))
+            log.warning("hot_restart_caller_faulty", fault=str(fault))
         except Exception:
-            log.exception("takeover_broke")
+            log.exception("hot_restart_broke")
         finally:
             self.callers -= 1
             link.close()
             if self.link is link:
                 self.link = None
-                log.info("takeover_link_ended", state=self.steps.state.name.lower())
+                log.info("hot_restart_link_ended", state=self.steps.state.name.lower())
                 self._do(self.steps.lost())
 
     def _listen(self, link: Link) -> None:
         while (heard := link.hear()) is not None:
             if heard[0]["what"] == "ready":
-                log.info("takeover_ready")
+                log.info("hot_restart_ready")
                 self._do(self.steps.ready())
 
     def leave(self) -> None:
@@ -242,7 +242,7 @@
                 self.act(what)
 
 
-class Taking:
+class Successor:
     """The side that takes over."""
 
     def __init__(
@@ -270,7 +270,7 @@
             if Do.CALL in do:
                 if (granted := self._call()) is not None:
                     self.steps.granted(clock())
-                    log.info("takeover_granted")
+                    log.info("hot_restart_granted")
                     return granted
                 if self.steps.state is New.State.ALONE:
                     return None
@@ -278,7 +278,7 @@
 
     def taken(self) -> bool:
         """The address is another process's though nobody was found: whether to call again."""
-        log.info("takeover_address_taken")
+        log.info("hot_restart_address_taken")
         return Do.GIVE_UP not in self.steps.taken(clock())
 
     def _call(self) -> tuple[int, dict[str, Any]] | None:
@@ -292,7 +292,7 @@
                 greeted = link.say("hello", version=VERSION, pid=os.getpid(), identity=own)
                 heard = link.hear() if greeted else None
         except (OSError, LinkError) as fault:
-            log.info("takeover_nobody", fault=str(fault))
+            log.info("hot_restart_nobody", fault=str(fault))
         values, fds = heard or ({}, [])
         what, foreign = values.get("what"), self.identity.foreign(values.get("identity"))
         if link is not None and what == "grant" and len(fds) == 1 and not foreign:
@@ -321,7 +321,7 @@
             if self.steps.due != NEVER:
                 self._do(self.steps.tick(clock()))
         self.link.close()
-        log.info("takeover_alone")
+        log.info("hot_restart_alone")
         self._do(self.steps.lost())
 
     def _hear(self, link: Link) -> None:
@@ -335,10 +335,10 @@
                 if what == "leave":
                     self._do(self.steps.left())
         except LinkError as fault:
-            log.warning("takeover_faulty", fault=str(fault))
+            log.warning("hot_restart_faulty", fault=str(fault))
         except Exception:
             # guards against a link that nobody reads any more and that is not seen to have ended
-            log.exception("takeover_broke")
+            log.exception("hot_restart_broke")
 
     def _do(self, do: list[Do]) -> None:
         for what in do:
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -23,7 +23,7 @@
 
 from linetrack.decide.figures import Figures
 from linetrack.decide.handover import Handover
-from linetrack.decide.takeover import Do, Identity
+from linetrack.decide.hot_restart import Do, Identity
 from linetrack.net import messages
 from linetrack.net.admin import Admin
 from linetrack.net.budget import Budget
@@ -31,9 +31,9 @@
 from linetrack.net.clock import clock
 from linetrack.net.config import STREAMS, Config, ConfigError, read_config
 from linetrack.net.discovery import Discovery
+from linetrack.net.hot_restart import Predecessor, Successor, meeting_place
 from linetrack.net.messages import MalformedError, MemberList
 from linetrack.net.owner import MakePolicy, Owner, Turn
-from linetrack.net.takeover import Giving, Taking, meeting_place
 from linetrack.net.upstreams import Upstreams
 from linetrack.rules import Balancer
 
@@ -99,7 +99,7 @@
         )
         self.leave, self.again = Event(), Event()
         self.budget = budget
-        self.giving: Giving | None = None
+        self.predecessor: Predecessor | None = None
         self.told_all = False  # whether the process whose place this one takes has told what it learnt
         self.handed: Do | None = None  # what became of the end: to a successor, or without one
         self.accepting: gevent.Greenlet | None = None
@@ -123,12 +123,12 @@
         gevent.signal_handler(signal.SIGINT, self.leave.set)
         gevent.signal_handler(signal.SIGHUP, self.again.set)
         _say_streams(self.config)
-        taking, known = self._listen()
+        successor, known = self._listen()
         self.discovery.remember(known)
         if self.config.admin is not None:
             must_live("admin", Admin(self.config.admin, self.serving, self._text).accept)
         must_live("owner", self.owner.run)
-        if taking is None:
+        if successor is None:
             self._accept()
         must_live("discovery", self.discovery.run)
         must_live("sweep", self.upstreams.sweep)
@@ -141,13 +141,13 @@
         if self.discovery.calls.pushed:
             self._hear_list()
         self._enter(Phase.SERVING)
-        if taking is not None:
-            must_live("takeover", taking.follow)
+        if successor is not None:
+            must_live("hot restart", successor.follow)
         self.leave.wait()
         self._enter(Phase.LEAVING)
         began = clock()
-        if self.giving is not None:
-            self.giving.leave()
+        if self.predecessor is not None:
+            self.predecessor.leave()
         limit = began + self.longest + int((STILL_COMING + LAST_WORD) * 1_000_000)
         self.owner.ends = limit - int(LAST_WORD * 1_000_000)
         if self.handed is not Do.HAND_ON or not self._until_handed(limit):
@@ -181,55 +181,55 @@
             gevent.sleep(LOOK)
 
     # --- Taking another process's place, and giving this one's ---------------------------------------
-    def _listen(self) -> tuple[Taking | None, MemberList]:
+    def _listen(self) -> tuple[Successor | None, MemberList]:
         """Open the listener, or have it from the process that serves; and the list, as that one has it."""
         config = self.config
         path = meeting_place(os.environ.get("TMPDIR", ""), config.name, config.listen)
         if path is None:
             self.clients.listen(config.listen)
             return None, config.known
-        self.giving = Giving(path, self._identity, self._grant, self._act)
-        taking = Taking(path, self._identity(), self._act, self._told)
-        while (granted := taking.call()) is None:
-            if taking.steps.met_stranger:
+        self.predecessor = Predecessor(path, self._identity, self._grant, self._act)
+        successor = Successor(path, self._identity(), self._act, self._told)
+        while (granted := successor.call()) is None:
+            if successor.steps.met_stranger:
                 # guards against standing in another customer's place for those that look for its process
-                log.warning("takeover_foreign", path=str(path))
-                self.giving = None
+                log.warning("hot_restart_foreign", path=str(path))
+                self.predecessor = None
             self._prepare_to_give()
             try:
-                self.clients.listen(config.listen, beside=self.giving is None)
+                self.clients.listen(config.listen, beside=self.predecessor is None)
             except BaseException as fault:
-                if self.giving is None:
+                if self.predecessor is None:
                     raise
                 # guards against hiding a process that serves, and only could not be asked
-                self.giving.forget()
+                self.predecessor.forget()
                 in_use = isinstance(fault, OSError) and fault.errno == errno.EADDRINUSE
-                if not in_use or not taking.taken():
+                if not in_use or not successor.taken():
                     raise
             else:
                 self._be_found()
                 return None, config.known
         fd, values = granted
         self.clients.listener = socket.socket(fileno=fd)
-        return taking, self._list(values)
+        return successor, self._list(values)
 
     def _prepare_to_give(self) -> None:
         try:
-            if self.giving is not None:
-                self.giving.prepare()
+            if self.predecessor is not None:
+                self.predecessor.prepare()
         except OSError as fault:
-            log.warning("takeover_unavailable", fault=str(fault))
-            self.giving = None
+            log.warning("hot_restart_unavailable", fault=str(fault))
+            self.predecessor = None
 
     def _be_found(self) -> None:
         """From here on the next process can find this one, where that can be had."""
         try:
-            if self.giving is not None:
-                self.giving.appear()
-                must_live("successors", self.giving.run)
+            if self.predecessor is not None:
+                self.predecessor.appear()
+                must_live("successors", self.predecessor.run)
         except OSError as fault:
-            log.warning("takeover_unavailable", fault=str(fault))
-            self.giving = None
+            log.warning("hot_restart_unavailable", fault=str(fault))
+            self.predecessor = None
 
     def _grant(self) -> tuple[int, dict[str, Any]]:
         assert self.clients.listener is not None
@@ -245,12 +245,12 @@
         """The list as the other process has it; the one of the configuration where that makes no sense, or is
         of another discovery, whose versions are its own."""
         if values.get("discovery", list(self.config.discovery)) != list(self.config.discovery):
-            log.warning("takeover_list_left", discovery=values["discovery"])
+            log.warning("hot_restart_list_left", discovery=values["discovery"])
             return self.config.known
         try:
             return messages.member_list(values.get("list"))
         except MalformedError as fault:
-            log.warning("takeover_list_faulty", fault=str(fault))
+            log.warning("hot_restart_list_faulty", fault=str(fault))
             return self.config.known
 
     def _accept(self) -> None:
@@ -285,8 +285,8 @@
 
     def _hand_on(self) -> None:
         """Whoever comes is the successor's from here on, and so is what this process knows."""
-        assert self.giving is not None and self.giving.link is not None
-        link = self.giving.link
+        assert self.predecessor is not None and self.predecessor.link is not None
+        link = self.predecessor.link
         self._stop_accepting()
         self.upstreams.close_all_idle()
         link.say(
@@ -326,7 +326,7 @@
                 # does not go by name goes over under the very same settings only
                 same = values.get("settings") == self.config.digest
                 taken = self.told_all = self.handover.restore(values["learnt"], clock(), same, same)
-                log.info("takeover_told", learnt=taken, same_settings=same, ids=len(values["ids"]))
+                log.info("hot_restart_told", learnt=taken, same_settings=same, ids=len(values["ids"]))
 
     def _reload(self) -> None:
         """Each time SIGHUP has come, the file is read again, whole, and then applied; for ever."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -45,19 +45,19 @@
                     now = start
                     continue
                 taken, self.turned = start + self.random.randrange(1, self.slow), 0
-            news = self.change <= max(taken, start + call.hold) and heard == until
-            answered = max(taken, self.change if news else start + call.hold)
-            on_watch = not (call.hold and start <= self.silence < answered)
+            news = self.change <= max(taken, start + call.long_poll) and heard == until
+            answered = max(taken, self.change if news else start + call.long_poll)
+            on_watch = not (call.long_poll and start <= self.silence < answered)
             if not on_watch:
                 if heard == until and self.change <= start + call.limit:
-                    told = max(self.silence + 6 * SECOND, start + call.hold + 2 * SECOND)
+                    told = max(self.silence + 6 * SECOND, start + call.long_poll + 2 * SECOND)
                 now = start + call.limit
                 calls.failed(now, Fault.SILENT)
                 continue
             now = answered
             if news:
                 heard = now
-                if call.hold and start <= self.change:
+                if call.long_poll and start <= self.change:
                     told = now  # it counts when it is written
             calls.answered(now, call, news)
         return told, heard
@@ -107,7 +107,7 @@
 def silent(calls: Calls) -> tuple[int, int]:
     """A first watch that says nothing: when it was given up, and when what it missed binds."""
     call = calls.next(0)
-    assert calls.due is not None and call.hold
+    assert calls.due is not None and call.long_poll
     due, now = calls.due, call.limit
     calls.failed(now, Fault.SILENT)
     return now, due
@@ -161,7 +161,7 @@
         while True:
             call = calls.next(now)
             if call.at < watched:
-                quiet = call.at + call.hold
+                quiet = call.at + call.long_poll
                 if quiet < watched:
                     now = quiet
                     calls.answered(now, call, False)
@@ -183,7 +183,7 @@
                 if call.at >= self.reached:
                     return taken, binds
                 now, watched = taken, end
-                calls.answered(now, call, call.hold > 0)
+                calls.answered(now, call, call.long_poll > 0)
                 continue
             now, fault = {
                 "refuses": (call.at, Fault.DOWN),
@@ -275,7 +275,7 @@
     calls = Calls(ASKED, 1)
     now, _ = silent(calls)
     prompt = calls.next(now)
-    assert prompt.hold == 0 and prompt.at == now
+    assert prompt.long_poll == 0 and prompt.at == now
     calls.answered(now + MS, prompt, False)
     watch = calls.next(now + MS)
-    assert isinstance(watch, Call) and watch.hold and watch.at - now <= 200 * MS
+    assert isinstance(watch, Call) and watch.long_poll and watch.at - now <= 200 * MS
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -109,7 +109,7 @@
 ) -> None:
     """Guards against the back-off of a discovery that is down after a watch that fell silent, or was spoilt
     or cut short: what it missed bound before the next call."""
-    for name, short in {"HOLD": 50_000, "OVERDUE": 30_000, "STILL": 30_000, "AGAIN": LONG}.items():
+    for name, short in {"LONG_POLL": 50_000, "OVERDUE": 30_000, "STILL": 30_000, "AGAIN": LONG}.items():
         monkeypatch.setattr(calls, name, short)
     watched.discovery.calls.again = LONG
     watched.server.scripted = [reply]
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -15,7 +15,7 @@
 import gevent
 import pytest
 
-from linetrack.decide.takeover import Do
+from linetrack.decide.hot_restart import Do
 from linetrack.interface import (
     Action,
     Arrival,
--- a/tests/test_takeover.py
+++ b/tests/test_hot_restart.py
@@ -19,7 +19,7 @@
 
 from linetrack.decide import snapshot
 from linetrack.decide.handover import avoided
-from linetrack.decide.takeover import READY_WITHIN, SECOND, SILENT, Do, Identity, New, Old
+from linetrack.decide.hot_restart import READY_WITHIN, SECOND, SILENT, Do, Identity, New, Old
 from linetrack.interface import Outcome
 from linetrack.rules import Balancer
 from tests.helpers import MS, SAFE, Driver
@@ -434,7 +434,7 @@
     world = World(tmp_path, Upstream("a", slowly))
     world.sidecar.environ["TMPDIR"] = str(long)
     with world as old:
-        assert "takeover_unavailable" in old.log()
+        assert "hot_restart_unavailable" in old.log()
         folder = tmp_path / "again"
         folder.mkdir()
         new = Sidecar(folder, {**old.config, "admin_addr": free_address()}, old.address, environ=old.environ)
@@ -470,7 +470,7 @@
             if ends:
                 ending.settimeout(20)
                 ending.accept()[0].close()
-        until(lambda: "takeover_address_taken" in new.log() or (new.process and new.process.poll()))
+        until(lambda: "hot_restart_address_taken" in new.log() or (new.process and new.process.poll()))
         away.rename(path)
         until(lambda: healthy(new))
         assert pair.old.end() == 0 and new.ask("pay").status == 200
@@ -525,8 +525,12 @@
         theirs = pair.again(ready=False, settings=renamed(pair.old.config))
         assert theirs.process and theirs.process.wait(20) == 1
         log = theirs.log()
-        assert log.count("takeover_foreign") == 1 and "takeover_granted" not in log and "cannot_listen" in log
-        assert "takeover_called" not in pair.old.log()
+        assert (
+            log.count("hot_restart_foreign") == 1
+            and "hot_restart_granted" not in log
+            and "cannot_listen" in log
+        )
+        assert "hot_restart_called" not in pair.old.log()
         assert pair.old.ask("pay").status == 200
         new = pair.again()
         assert pair.old.end() == 0 and new.ask("pay").status == 200
@@ -562,9 +566,9 @@
         values["azs"].reverse()
         known = {"version": 0, "full": True, "servers": [b.entry()]}
         new = pair.again(discovery=elsewhere.address, known=known, settings=values)
-        assert "takeover_list_left" in new.log()
+        assert "hot_restart_list_left" in new.log()
         assert pair.old.end() == 0
-        until(lambda: "takeover_told" in new.log())
+        until(lambda: "hot_restart_told" in new.log())
         assert '"same_settings": false' in new.log()
         until(lambda: elsewhere.calls)
         assert "from=0" in elsewhere.calls[0]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -5,7 +5,7 @@
 from linetrack.decide import snapshot
 from linetrack.interface import Entry, FleetNews, Health, ListForm
 from linetrack.net import messages
-from linetrack.net.takeover import MOST_FRAME
+from linetrack.net.hot_restart import MOST_FRAME
 from linetrack.rules import Balancer
 from tests.helpers import Driver
 from tests.stand_ins import entry
