--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,9 +1,11 @@
 """Discovery: calls and watches, against a stand-in, in one process."""
 
+import errno
 import json
+import socket
 import time
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, NoReturn
 
 import gevent
 import pytest
@@ -12,6 +14,7 @@
 from linetrack.decide.calls import Fault
 from linetrack.interface import FleetNews, Health, ListForm, Settings
 from linetrack.net.budget import Budget
+from linetrack.net.connection import Connection
 from linetrack.net.discovery import Discovery
 from linetrack.net.messages import address, member_list
 from linetrack.net.upstreams import Upstreams
@@ -70,7 +73,7 @@
 
 def test_a_quiet_watch_outlasts_the_time_to_dial(watched: Watched, monkeypatch: pytest.MonkeyPatch) -> None:
     # guards against the dial's time-out staying on the socket: every watch ended after it, as refused
-    monkeypatch.setattr("linetrack.net.discovery.ANSWER", 100_000)
+    monkeypatch.setattr(calls, "DIAL", 100_000)
     watched.start()
     turns_until(lambda: watched.server.calls)
     gevent.sleep(0.3)
@@ -106,7 +109,7 @@
 ) -> None:
     """Guards against the back-off of a discovery that is down after a watch that fell silent, or was spoilt
     or cut short: what it missed bound before the next call."""
-    for name, short in {"HOLD": 50_000, "OVERDUE": 30_000, "STILL": 30_000, "AGAIN": LONG}.items():
+    for name, short in {"LONG_POLL": 50_000, "OVERDUE": 30_000, "STILL": 30_000, "AGAIN": LONG}.items():
         monkeypatch.setattr(calls, name, short)
     watched.discovery.calls.again = LONG
     watched.server.scripted = [reply]
@@ -231,6 +234,72 @@
     other.close()
 
 
+def test_news_of_the_old_discovery_counts_until_the_new_one_has_answered(watched: Watched) -> None:
+    """Guards against a watch given up at SIGHUP with news on its way: it counts as told when it is written,
+    and the new discovery may be long in answering."""
+    watched.start()
+    turns_until(lambda: watched.server.calls)
+    other = stand_ins.Discovery([entry("a"), entry("c")])
+    with other.news:  # it takes the call and cannot answer yet
+        watched.discovery.move(address(other.address))
+        turns_until(lambda: other.connections)
+        watched.server.change(entry("b", state="DRAINING"))
+        assert watched.forms(2) == [ListForm.REMEMBERED, ListForm.CHANGES]
+        assert watched.upstreams.known["b"].health is Health.DRAINING
+    assert watched.forms(3)[2] is ListForm.WHOLE
+    # what the old one tells from here on is nobody's business
+    watched.server.change(entry("c", state="DRAINING"))
+    turns_until(lambda: len(other.calls) >= 2)
+    gevent.sleep(0)
+    assert watched.upstreams.known["c"].health is Health.UP and len(watched.told) == 3
+    other.close()
+
+
+def test_a_watch_that_dies_with_its_news_half_read_is_followed_at_once(watched: Watched) -> None:
+    """Guards against half of a list taken for all of it, and against a wait with the other half missing."""
+    news = listed(2, False, entry("a", state="DRAINING"), entry("b", state="DRAINING"))
+    watched.discovery.calls.again = LONG
+    watched.server.scripted = [news[:-30]]
+    watched.start()
+    turns_until(lambda: watched.server.calls)
+    watched.server.change(entry("b", state="DRAINING"))
+    watched.server.connections[0].shutdown(socket.SHUT_RDWR)
+    assert watched.forms(2)[1] is ListForm.CHANGES
+    assert watched.failed == [Fault.CUT] and "hold_ms=0" in watched.server.calls[1]
+    assert [e.upstream for e in watched.told[1].entries] == ["b"]
+
+
+def test_without_a_descriptor_for_its_call_the_process_goes_on(
+    watched: Watched, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that ends because its clients left no descriptor for a call to discovery."""
+
+    def none_left(*args: object) -> NoReturn:
+        monkeypatch.setattr("linetrack.net.discovery.Connection", Connection)
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr("linetrack.net.discovery.Connection", none_left)
+    watched.start()
+    turns_until(lambda: watched.failed)
+    assert watched.failed == [Fault.DOWN]
+    turns_until(lambda: watched.server.calls)
+    assert not watched.greenlet.dead
+
+
+def test_where_lists_are_pushed_a_start_waits_for_an_answer_and_not_for_a_refusal() -> None:
+    """Guards against serving by a list from before the start because discovery, which hundreds call at
+    once, turned the first call away: what it has binds from the first moment."""
+    watched = Watched(PUSHED)
+    try:
+        watched.server.scripted = [answer(b"", 503), answer(b"", 503), answer(b"not JSON")]
+        turns_until(lambda: len(watched.failed) == 3)
+        assert not watched.discovery.heard.is_set()
+        turns_until(watched.discovery.heard.is_set)
+        assert watched.told[-1].form is ListForm.WHOLE
+    finally:
+        watched.close()
+
+
 def test_while_the_new_discovery_fails_the_old_list_stands(watched: Watched) -> None:
     watched.start()
     turns_until(lambda: watched.server.calls)
