--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 import errno
+import os
 import select
 import socket
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from typing import Any
 
 import gevent
 import pytest
 
-from linetrack.decide.hot_restart import Do
+from linetrack.decide.hot_restart import Do, Identity
 from linetrack.interface import (
     Action,
     Arrival,
@@ -28,11 +30,13 @@
     Send,
 )
 from linetrack.net import clients as clients_module
+from linetrack.net.admin import Admin
 from linetrack.net.budget import RESERVE, Budget
 from linetrack.net.clients import Clients
 from linetrack.net.clock import clock
 from linetrack.net.config import config_of
 from linetrack.net.connection import Connection, readable
+from linetrack.net.hot_restart import Predecessor, Successor
 from linetrack.net.messages import Member, address
 from linetrack.net.owner import Owner
 from linetrack.net.sidecar import Sidecar
@@ -437,6 +441,51 @@
     assert wire.recv(65536).startswith(b"HTTP/1.1 200")
 
 
+class Listener:
+    """A listening socket whose first call finds no descriptor."""
+
+    def __init__(self, sock: Any) -> None:
+        self.sock, self.failed = sock, 0
+
+    def accept(self) -> Any:
+        if not self.failed:
+            self.failed = 1
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self.sock.accept()
+
+
+def test_without_a_descriptor_for_an_operators_call_it_waits_and_is_answered() -> None:
+    admin = Admin(("127.0.0.1", 0), lambda: True, lambda: "")
+    where = admin.listener.getsockname()
+    admin.listener = made = Listener(admin.listener)
+    accepting = gevent.spawn(admin.accept)
+    caller = gevent.socket.create_connection(where)
+    caller.settimeout(PATIENCE)
+    caller.sendall(request("/admin/health"))
+    assert caller.recv(65536).startswith(b"HTTP/1.1 200") and made.failed
+    caller.close()
+    accepting.kill()
+
+
+def test_without_a_descriptor_for_its_link_a_successor_waits_and_has_its_grant(tmp_path: Path) -> None:
+    """Guards against a process that serves and ends because one that would take its place called."""
+    path, own = tmp_path / "link.sock", Identity(("look",), "1")
+    old = Predecessor(path, lambda: own, lambda: (0, {}), lambda do: None)
+    old.prepare()
+    old.appear()
+    old.listener = made = Listener(old.listener)
+    running = gevent.spawn(old.run)
+    new = Successor(path, own, lambda do: None, lambda what, values, fds: None)
+    with gevent.Timeout(PATIENCE):
+        granted = new.call()
+    assert granted is not None and made.failed
+    os.close(granted[0])
+    assert new.link is not None
+    new.link.close()
+    running.kill()
+    made.sock.close()
+
+
 def test_clients_that_say_nothing_keep_no_attempt_from_its_descriptor() -> None:
     """While every place is taken by them, they come at once for each one that goes, and discovery is down."""
     node = Node(sockets=RESERVE + 8)
