--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -491,8 +491,8 @@
     node = Node(sockets=RESERVE + 8)
     try:
         idlers = [node.connect() for _ in range(30)]
-        turns_until(lambda: node.budget.used >= 4)
-        gevent.sleep(0.1)
+        assert node.clients.listener is not None
+        turns_until(lambda: node.budget.used >= 4 and readable(node.clients.listener))
         wire = node.connect()
         node.policy.wants = lambda event: [Send(event.request, "a")] if isinstance(event, Arrival) else []
         wire.sendall(call(expires="20.0"))
