One name for errors that pass at an accept, one wait for the list at a start, one way to pass news on

Read again: the list of errnos stood in clients, admin and hot_restart; _hear_list polled each 10 ms where one wait for two events serves; _take_last repeated the end of _take; three constants were laid out badly.

--- a/linetrack/decide/calls.py
+++ b/linetrack/decide/calls.py
@@ -18,9 +18,8 @@
 # --- The protocol's own figures ------------------------------------------------------------------
 SILENCE = 6 * SECOND  # what a silent call misses counts as told so long after it fell silent,
 AFTER_WAIT = 2 * SECOND  # or so long after its wait is over, if that is later
-REACH = (
-    6 * SECOND
-)  # whatever failed before, a change counts so long after discovery had it and could be reached
+# whatever failed before, a change counts so long after discovery had it and could be reached
+REACH = 6 * SECOND
 MOVED = 4 * SECOND  # what another discovery tells counts so long after SIGHUP
 ON_WATCH = 200 * MS  # a watch goes on if called again within this
 
@@ -28,9 +27,8 @@
 LONG_POLL = 20 * SECOND  # the longest wait of a watch; each waits for half of it at least, by lot
 OVERDUE = 300 * MS  # an answer that is late by more than this will not come: sound ones are by 2 ms at most
 DIAL = 1500 * MS  # the longest dial: what is reached is reached at once
-ANSWER = (
-    3500 * MS
-)  # the longest wait until an answer that is due at once has begun: calls wait in turn for up to 3 s
+# the longest wait until an answer that is due at once has begun: calls wait in turn for up to 3 s
+ANSWER = 3500 * MS
 ANSWER_LEAST = 1 * SECOND  # the shortest: a call that opens a watch was seen to take up to 0.7 s
 WHOLE = 1500 * MS  # from an answer's first byte to its last at first; doubles with each failure in a row
 WHOLE_MOST = 3 * SECOND  # and at most: guards against a long list on a slow way that is never read to its end
@@ -38,9 +36,8 @@
 AGAIN = 1 * SECOND  # the first wait before a discovery that is down is called again; doubles
 AGAIN_MOST = 2 * SECOND  # the longest: from its return on, all that REACH has left is the answer's
 AGAIN_LEAST = 100 * MS  # between two calls at least, however near the moment is
-ROUND = (
-    5 * SECOND
-)  # from a call that is lost to the next one at most; what REACH has left is that one's answer's
+# from a call that is lost to the next one at most; what REACH has left is that one's answer's
+ROUND = 5 * SECOND
 TRIES = 4  # the part of what is left that is waited before another try
 NO_NEWS = ON_WATCH // 2  # before the next call where a watch did not wait for news
 
--- a/linetrack/net/admin.py
+++ b/linetrack/net/admin.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -15,7 +14,7 @@
 from gevent import socket
 
 from linetrack.net.clock import clock
-from linetrack.net.connection import READ_SIZE
+from linetrack.net.connection import READ_SIZE, passing
 from linetrack.net.messages import ClientRequest, MalformedError, RequestReader, encode_answer
 
 log = structlog.get_logger()
@@ -48,7 +47,7 @@
             try:
                 caller, _ = self.listener.accept()
             except OSError as fault:
-                if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
+                if not passing(fault):
                     raise
                 gevent.sleep(PAUSE)
                 continue
--- a/linetrack/net/clients.py
+++ b/linetrack/net/clients.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import struct
 from collections import deque
 from collections.abc import Callable
@@ -26,7 +25,7 @@
 from linetrack.net import messages
 from linetrack.net.budget import SMALL, Budget
 from linetrack.net.clock import NEVER, clock
-from linetrack.net.connection import READ_SIZE, Side, Stream, other_side, readable, write
+from linetrack.net.connection import READ_SIZE, Side, Stream, other_side, passing, readable, write
 from linetrack.net.messages import ClientRequest, Framing, MalformedError, RequestReader
 from linetrack.net.owner import Final, Left, Owner, Taken
 
@@ -486,9 +485,7 @@
                 try:
                     self._take_one()
                 except OSError as fault:
-                    # guards against dying of what passes: no descriptor left, or a client that left the
-                    # backlog
-                    if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
+                    if not passing(fault):
                         raise
                     log.error("accept_failed", fault=str(fault))
                     gevent.sleep(ROOM_WAIT)
--- a/linetrack/net/connection.py
+++ b/linetrack/net/connection.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 from collections.abc import Callable
 from enum import Enum
@@ -116,6 +117,12 @@
         sock.sendall(memoryview(data)[sent:])
 
 
+def passing(fault: OSError) -> bool:
+    """Whether what kept a connection from being accepted passes: no descriptor or memory left, or one
+    that left the backlog.  Guards against a process that ends, or a listener that dies, of it."""
+    return fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED)
+
+
 def _shows(sock: socket.socket, events: int) -> int:
     """Which of these have come, without waiting, also that the connection is broken; a socket already closed
     here shows all of them."""
--- a/linetrack/net/discovery.py
+++ b/linetrack/net/discovery.py
@@ -191,8 +191,8 @@
 
     def _take_last(self, told: MemberList) -> None:
         """The last news of a discovery that was left, while the new one has told nothing."""
-        if self.version is None and (told.members or told.full):
-            self._tell(told, ListForm.WHOLE if told.full else ListForm.CHANGES)
+        if self.version is None:
+            self._pass_on(told)
 
     def _take(self, told: MemberList) -> None:
         if told.passed_over:
@@ -203,6 +203,9 @@
             version, self.version = self.version, None
             raise MalformedError(f"version {told.version} is older than {version}")
         self.version = told.version
+        self._pass_on(told)
+
+    def _pass_on(self, told: MemberList) -> None:
         if told.members or told.full:
             self._tell(told, ListForm.WHOLE if told.full else ListForm.CHANGES)
 
--- a/linetrack/net/hot_restart.py
+++ b/linetrack/net/hot_restart.py
@@ -9,7 +9,6 @@
 
 import array
 import contextlib
-import errno
 import json
 import os
 import struct
@@ -26,6 +25,7 @@
 
 from linetrack.decide.hot_restart import NEVER, VERSION, Do, Identity, New, Old
 from linetrack.net.clock import clock
+from linetrack.net.connection import passing
 
 log = structlog.get_logger()
 
@@ -172,8 +172,7 @@
             try:
                 sock, _ = self.listener.accept()
             except OSError as fault:
-                # guards against ending with the process where no descriptor is left
-                if fault.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ECONNABORTED):
+                if not passing(fault):
                     raise
                 gevent.sleep(LOOK)
                 continue
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -42,7 +42,7 @@
 STILL_COMING = 0.5  # seconds after SIGTERM in which clients still connect
 LAST_WORD = 0.1  # seconds after the last answer, for the last bytes to be taken
 LOOK = 0.01  # seconds between looks whether all is answered
-LIST_WITHIN = 4_000_000  # microseconds after which a process serves without an answer of discovery
+LIST_WITHIN = 4.0  # seconds after which a process serves without an answer of discovery
 LINE_EVERY = 1_000_000  # microseconds between two log lines of one event
 GC_THRESHOLD = 20_000  # a collection costs milliseconds: seldom, over what is young only
 TIDY = 5.0  # seconds between collections over all that came since the start, so that memory stays level
@@ -173,12 +173,8 @@
         called by all that start together, and may be cut off: one that has not answered for so long is taken
         to be out of reach, and one that is down has nothing to tell; then the list of the configuration is
         all that there is."""
-        limit = clock() + LIST_WITHIN
-        while not (self.discovery.heard.is_set() or self.leave.is_set()):
-            if clock() >= limit:
-                log.warning("list_unheard", entries=len(self.upstreams.known))
-                return
-            gevent.sleep(LOOK)
+        if not gevent.wait([self.discovery.heard, self.leave], LIST_WITHIN, count=1):
+            log.warning("list_unheard", entries=len(self.upstreams.known))
 
     # --- Taking another process's place, and giving this one's ---------------------------------------
     def _listen(self) -> tuple[Successor | None, MemberList]:
