Parts of a cold upstream's budget follow an instance's share of the traffic

The requests of all instances are 71 to 3,803; the heaviest has 18 % of the traffic, sheds 48 % of its last 1,790 requests and sends 9 % of the rest to cold ones, as its part of each one's budget is 1/40 like everybody's; light ones leave theirs unused (two thirds of the budget at most can be used at these shares). Lines at fault: `_cold_part`, which divides by the number of instances.

Now the part is the instance's share: own sends to warm upstreams over the rates that warm upstreams report, a quarter of it even; even where no rate is reported. What was served is remembered for 12 s, so that shares do not add up to more than one when instances fail (tests).

--- a/linetrack/rules.py
+++ b/linetrack/rules.py
@@ -15,6 +15,7 @@
 from random import Random
 
 from linetrack import interface as i
+from linetrack.decide.traffic_share import TrafficShare
 from linetrack.evidence import FORGET_SPEED, SECOND, Evidence
 from linetrack.records import Attempt, Request, Upstream
 
@@ -124,14 +125,15 @@
         # by zone: how crowded it is, and the mean of what was told of its upstreams
         self.zones: defaultdict[int, Evidence] = defaultdict(Evidence)
         self.others: defaultdict[int, float] = defaultdict(float)
-        self.kinds: dict[int, Evidence] = {}
+        self.kinds: defaultdict[int, Evidence] = defaultdict(Evidence)
         # worked out once an event, not once an upstream: by zone and by kind
         self.seen: dict[int, tuple[float, float]] = {}
         self.up: list[list[Upstream]] = []  # not told as draining or gone: of the own zone, of the others
         self.kept: dict[int, tuple[int, Weighed]] = {}  # by class, the others as weighed, and until when
         self.sizes = [Evidence() for _ in settings.classes]
         self.nominal: dict[int, float] = {}  # by kind, the most that a size that moves with load was
-        self.rates: dict[int, Evidence] = {}  # requests a microsecond that warm ones of a kind serve
+        self.rates: defaultdict[int, Evidence] = defaultdict(Evidence)  # of a kind's warm ones, as reported
+        self.traffic = TrafficShare(settings.instances)
         self.work = Evidence()  # an uncrowded answer's time, the mean over all classes
         self.mean_worth = self.mean_pace = 0.0
         self.asked = [1.0 / len(settings.classes)] * len(settings.classes)
@@ -163,12 +165,10 @@
                 self._timer(event.token)
             case i.FleetNews():
                 self._news(event)
-            case i.ClientLeft():
-                if request := self.requests.get(event.request):
-                    self._close(request)
-            case i.Begun():
-                if request := self.requests.get(event.request):
-                    self._begun(request, event.attempt)
+            case i.ClientLeft() if request := self.requests.get(event.request):
+                self._close(request)
+            case i.Begun() if request := self.requests.get(event.request):
+                self._begun(request, event.attempt)
             case i.Written():
                 request = self.requests.get(event.request)
                 if request and (attempt := request.out.get(event.attempt)):
@@ -241,7 +241,7 @@
         """Take a report in: requests at the upstream beyond those this instance sent itself."""
         seen = {f: v for f, v in zip(self.s.report_fields, values, strict=False) if 0 <= v < math.inf}
         if i.Load.RATE in seen and self._warmth(upstream) >= 1:
-            self.rates.setdefault(upstream.kind, Evidence()).add(self.now, seen[i.Load.RATE] / SECOND)
+            self.rates[upstream.kind].add(self.now, seen[i.Load.RATE] / SECOND)
         if self.s.live_sizes:
             if seen.get(i.Load.UTIL, 1.0) < BUSIEST and upstream.load_at:  # Little's law, cores not short
                 self.busy += SMOOTH / 4 * (seen[i.Load.UTIL] - self.busy)
@@ -291,8 +291,7 @@
         return min(1.0, self.s.cold_from + (1 - self.s.cold_from) * age)
 
     def _pool(self, upstream: Upstream) -> float:
-        kind = self.kinds.get(upstream.kind)
-        return kind.beside(self.now, 0.0) if kind else 0.0
+        return self.kinds[upstream.kind].beside(self.now, 0.0)
 
     def _pace(self, upstream: Upstream) -> float:
         """The upstream's own time for a request over the mean's, beside that of its kind; logarithm."""
@@ -783,7 +782,7 @@
         upstream, size = attempt.upstream, self.sizes[attempt.klass]
         if self._warmth(upstream) < 1 or self._alone(attempt.klass) < DRAGS:
             return  # how warm it truly was is not told, so nothing is learnt of pace or crowding
-        zone, kind = self.zones[upstream.zone], self.kinds.setdefault(upstream.kind, Evidence())
+        zone, kind = self.zones[upstream.zone], self.kinds[upstream.kind]
         # guards against a clock too coarse to tell: an answer in no time still takes some
         took = math.log(max(1, latency) / (1 + attempt.backlog))
         # in logarithms, as one very heavy request says little; each part learns what the others leave
@@ -814,12 +813,11 @@
             slower = math.exp(max(0.0, self._pool(upstream)))
             cost = 1.5 * (self.work.value * slower or max(c.aim for c in self.s.classes))
             # what warm ones of its kind are reported to serve, or at least one request at a time
-            rate = self.rates.get(upstream.kind)
-            bears = max(1 / cost, rate.beside(self.now, 0.0) if rate else 0.0)
+            bears = max(1 / cost, self.rates[upstream.kind].beside(self.now, 0.0))
             whole = self.s.fall_multiple * share * COLD_SAFETY * self.s.overload_for * bears
-            upstream.part = whole / self.s.instances
             room = math.sqrt(COLD_SPREAD**2 + 4 * whole / COLD_SAFETY) - COLD_SPREAD
-            upstream.lots = (room / 2) ** 2 / self.s.instances
+            own = self.traffic.estimate(self.now, self.fleet.values(), self.rates)
+            upstream.part, upstream.lots = whole * own, (room / 2) ** 2 * own
         return upstream.part
 
     def _thin(self, upstream: Upstream) -> bool:
@@ -904,6 +902,8 @@
         request.tried.append(upstream)
         if self._warmth(upstream) < 1:
             upstream.cold_sent.append(self.now)
+        else:
+            self.traffic.sent(self.now)
         self.actions.append(i.Send(request.number, upstream.name, by=by))
         if self.s.parallel and request.klass.effect is not i.Effect.UNSAFE and expected:
             # guards against copies, and their crossings, that buy nothing: early is while it can be in time
