Split the listener: one connection, the checks of a request and accepting have a module each

What is no request is told by a RejectedRequestError in place of an int or a tuple; names of whole words for the steps of serving a request.

--- /dev/null
+++ b/linetrack/net/request_intake.py
@@ -0,0 +1,132 @@
+"""Checks what clients send and turns it into the arrivals that the decision module is told of.
+
+Owns the ids of open requests and of those that are lately over.  Must never read a socket or write an answer:
+what is no request raises a `RejectedRequestError` with the status that answers it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from linetrack.decide.figures import Fate
+from linetrack.interface import Arrival
+from linetrack.net import messages
+from linetrack.net.clock import clock
+from linetrack.net.messages import ClientRequest, MalformedError
+from linetrack.net.owner import Owner
+
+LONGEST_ID = 128  # characters of an id that are kept as they are
+
+BAD_REQUEST, CONFLICT, UNAVAILABLE, GATEWAY_TIMEOUT = 400, 409, 503, 504
+
+
+class RejectedRequestError(MalformedError):
+    """A message that the decision module is not told of, as its class, id or deadline makes no sense."""
+
+    def __init__(self, request: ClientRequest, status: int) -> None:
+        super().__init__(f"class, id or deadline of {request.path[:80]!r}", status)
+
+
+@dataclass(slots=True, frozen=True)
+class CheckedRequest:
+    """What a request that passed the checks says.  `patience` is in microseconds."""
+
+    class_name: str
+    klass: int
+    key: str
+    id_mark: str
+    patience: int
+
+
+class RequestIntake:
+    """The checks of one process; the ids that it has seen are its own."""
+
+    def __init__(self, owner: Owner, classes: tuple[str, ...], deadlines: tuple[int, ...]) -> None:
+        self.owner = owner
+        self.set(classes, deadlines)
+        # the ids of open requests and of those lately over: a copy may have been sent meanwhile
+        self.ids: set[str] = set()
+        self.lately: tuple[set[str], set[str]] = (set(), set())
+
+    def set(self, classes: tuple[str, ...], deadlines: tuple[int, ...]) -> None:
+        """The classes of what is read from here on, and their deadlines in microseconds."""
+        self.classes = {name: n for n, name in enumerate(classes)}
+        self.deadlines = deadlines
+
+    def check(self, request: ClientRequest) -> CheckedRequest:
+        """Return what a request says; raises a `RejectedRequestError` where it is none."""
+        steps, mark = request.steps(), _mark(request.trace)
+        klass = self.classes.get(steps[0]) if steps else None
+        patience = messages.patience(request.expires)
+        if klass is None or not request.trace or patience is None or patience < 0:
+            raise RejectedRequestError(request, BAD_REQUEST)
+        if mark in self.ids or mark in self.lately[0] or mark in self.lately[1]:
+            # guards against running a request of this id twice, and against an answer for the wrong one
+            raise RejectedRequestError(request, CONFLICT)
+        if patience == 0:
+            raise RejectedRequestError(request, GATEWAY_TIMEOUT)
+        key = steps[-1] if len(steps) > 1 else ""
+        return CheckedRequest(steps[0], klass, key, mark, patience)
+
+    def arrival(self, request: ClientRequest) -> Arrival:
+        """Return what the module is told of a request, whose id is open from here on; raises a
+        `RejectedRequestError` where it is none, or where its time is over."""
+        try:
+            checked = self.check(request)
+        except RejectedRequestError as rejected:
+            if rejected.status == GATEWAY_TIMEOUT:
+                # it was a request, whose time was over when it came
+                self._count_as_over(request.steps()[0], Fate.FAULTED)
+            raise
+        request.klass = checked.class_name
+        # guards against a request that comes late in this process's end and outlasts it
+        patience = min(checked.patience, self.deadlines[checked.klass], self.owner.ends - clock())
+        if patience <= 0:
+            self._count_as_over(request.klass, Fate.THROTTLED)
+            raise RejectedRequestError(request, UNAVAILABLE)
+        self.ids.add(checked.id_mark)
+        return Arrival(
+            self.owner.number(),
+            checked.klass,
+            patience,
+            _whole(request.props.get("party", "")),
+            checked.key,
+            _whole(request.props.get("workUs", "")),
+            request.again,
+            request.props.get("update") in ("1", "true"),
+            hash(request.idempotency) if request.idempotency else 0,
+            request.rest is None,
+        )
+
+    def over(self, request_id: str) -> None:
+        """The request of this id is over; the id is remembered until `forget_older` was called twice."""
+        mark = _mark(request_id)
+        self.ids.discard(mark)
+        self.lately[0].add(mark)
+
+    def forget_older(self) -> None:
+        """Forget the ids of requests that were over before the last call."""
+        self.lately = set(), self.lately[0]
+
+    def marks(self) -> list[str]:
+        """The ids that are open or were a moment ago."""
+        return [*self.ids, *self.lately[0], *self.lately[1]]
+
+    def remember(self, marks: list[str]) -> None:
+        """Take over the ids that another process remembers."""
+        self.lately[0].update(marks)
+
+    def _count_as_over(self, class_name: str, fate: Fate) -> None:
+        self.owner.figures.taken += 1
+        self.owner.figures.over(class_name, fate)
+
+
+def _mark(trace: str) -> str:
+    """Stands for an id, here and in a process that takes this one's place: the id itself, but for long ones,
+    of which many would cost memory."""
+    return trace if len(trace) <= LONGEST_ID else blake2b(trace.encode("latin-1", "replace")).hexdigest()
+
+
+def _whole(text: str) -> int:
+    return int(text) if text.isdecimal() and len(text) < 16 else 0
--- a/linetrack/net/sidecar.py
+++ b/linetrack/net/sidecar.py
@@ -288,7 +288,7 @@
         link.say(
             "leave",
             sockets=self.budget.leave_to_successor(),
-            ids=self.clients.marks(),
+            ids=self.clients.intake.marks(),
             learnt=self.handover.learnt(),
             settings=self.config.digest,
         )
@@ -317,7 +317,7 @@
                     self.clients.adopt(fd, values["answers"])
             case "leave":
                 self.budget.share(values["sockets"])
-                self.clients.lately[0].update(values["ids"])
+                self.clients.intake.remember(values["ids"])
                 # guards against taking over under one number what was learnt of another class or place: what
                 # does not go by name goes over under the very same settings only
                 same = values.get("settings") == self.config.digest
@@ -353,7 +353,7 @@
         self.upstreams.set(new.dial_timeout, new.keep_alive, new.report_fields)
         self.discovery.set(new.zone_names, new.kind_names, new.settings)
         self.figures.declare(new.class_names)
-        self.clients.set(new.class_names, new.deadlines)
+        self.clients.intake.set(new.class_names, new.deadlines)
         self.owner.put(Turn(partial(self._succeed, new)), clock())
         self.config, self.longest = new, max(self.longest, new.longest)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -29,7 +29,7 @@
     Refuse,
     Send,
 )
-from linetrack.net import clients as clients_module
+from linetrack.net import client_connection
 from linetrack.net.admin import Admin
 from linetrack.net.budget import RESERVE, Budget
 from linetrack.net.clients import Clients
@@ -236,13 +236,13 @@
     first, second = node.connect(), node.connect()
     number = node.ask(first, data)
     first.shutdown(socket.SHUT_WR)
-    monkeypatch.setattr(clients_module, "SHUT_FOR", 20 * SECOND)
+    monkeypatch.setattr(client_connection, "SHUT_FOR", 20 * SECOND)
     node.send(number)
     assert first.recv(65536).startswith(b"HTTP/1.1 200")
     number = node.ask(second, data.replace(b": h", b": i"))
     second.shutdown(socket.SHUT_WR)
     shows(next(c for c in node.clients.open.values() if c.busy).sock, select.POLLRDHUP)
-    monkeypatch.setattr(clients_module, "SHUT_FOR", 0)
+    monkeypatch.setattr(client_connection, "SHUT_FOR", 0)
     seen = len(node.server.seen)
     node.send(number)
     turns_until(lambda: node.policy.ends()[-1] is Outcome.MOOT)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,6 +10,7 @@
 import structlog
 
 from linetrack.interface import Arrival
+from linetrack.net import client_connection
 from linetrack.net import clients as clients_module
 from linetrack.net.budget import CLIENT_KB, FEWEST, PROGRAM_MB, Budget
 from linetrack.net.clients import Clients
@@ -17,6 +18,7 @@
 from linetrack.net.connection import readable
 from linetrack.net.messages import ClientRequest
 from linetrack.net.owner import Final
+from linetrack.net.request_intake import RejectedRequestError
 from linetrack.net.sidecar import LINE_EVERY, Sparing, must_live
 from tests.stand_ins import MS, PATIENCE, SECOND, call, turns_until
 
@@ -130,7 +132,7 @@
     clients: Clients, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # guards against places held for good, and against closing under a request that has come
-    monkeypatch.setattr(clients_module, "WITHIN", 150 * MS)
+    monkeypatch.setattr(client_connection, "WITHIN", 150 * MS)
     gevent.spawn(clients.sweep)
     silent, asking = connect(clients), connect(clients)
     asking.sendall(call())
@@ -148,7 +150,7 @@
     clients: Clients, monkeypatch: pytest.MonkeyPatch, first: bool
 ) -> None:
     # guards against a time limit that starts anew with each byte
-    monkeypatch.setattr(clients_module, "WITHIN", 300 * MS)
+    monkeypatch.setattr(client_connection, "WITHIN", 300 * MS)
     gevent.spawn(clients.sweep)
     wire = connect(clients)
     if not first:
@@ -166,7 +168,7 @@
 
 
 def test_a_client_that_takes_no_answer_is_let_go(clients: Clients, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients_module, "WITHIN", 50 * MS)
+    monkeypatch.setattr(client_connection, "WITHIN", 50 * MS)
     gevent.spawn(clients.sweep)
     wire = connect(clients)
     wire.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -232,16 +234,22 @@
     monkeypatch.setattr(clients_module, "WITHIN", 100 * MS)
     gevent.spawn(clients.sweep)
     request = ClientRequest("GET", "/look", "1", expires="0.5")
-    assert isinstance(clients.arrival(request), Arrival) and clients.arrival(request) == 409
-    clients.over("1")
-    assert clients.arrival(request) == 409
-    turns_until(lambda: not clients.ids and not any(clients.lately))
-    assert isinstance(clients.arrival(request), Arrival)
+    intake = clients.intake
+    assert isinstance(intake.arrival(request), Arrival)
+    with pytest.raises(RejectedRequestError) as rejected:
+        intake.arrival(request)
+    assert rejected.value.status == 409
+    intake.over("1")
+    with pytest.raises(RejectedRequestError) as rejected:
+        intake.arrival(request)
+    assert rejected.value.status == 409
+    turns_until(lambda: not intake.ids and not any(intake.lately))
+    assert isinstance(intake.arrival(request), Arrival)
 
 
 def test_what_the_module_is_told_of_a_request(clients: Clients) -> None:
     props = {"party": "3", "workUs": "12000", "update": "1", "other": "x"}
     request = ClientRequest("GET", "/look/a/k7?q=1", "1", expires="0.5", again=True, props=props)
-    assert clients.arrival(request) == Arrival(1, 0, SECOND // 2, 3, "k7", 12000, True, True)
+    assert clients.intake.arrival(request) == Arrival(1, 0, SECOND // 2, 3, "k7", 12000, True, True)
     odd = ClientRequest("GET", "/look", "2", expires="9e99", props={"party": "-1", "workUs": "x" * 99})
-    assert clients.arrival(odd) == Arrival(1, 0, 2 * SECOND)
+    assert clients.intake.arrival(odd) == Arrival(1, 0, 2 * SECOND)
