--- a/linetrack/decide/traffic_share.py
+++ b/linetrack/decide/traffic_share.py
@@ -46,8 +46,7 @@
 
     def _measure(self, now: int, upstreams: Iterable[Upstream], rates: Mapping[int, Evidence]) -> float:
         warm = Counter(each.kind for each in upstreams if not each.gone and now >= each.warm_at)
-        reported = [rates[kind] for kind in warm if kind in rates and rates[kind].weight]
-        if not warm or len(reported) < len(warm):
+        if not warm or not all(kind in rates and rates[kind].weight for kind in warm):
             return self.even
         rate = sum(count * rates[kind].value for kind, count in warm.items())
         # Guards against shares that add up to more than one once instances fail: those that are left serve
--- a/tests/test_traffic_share.py
+++ b/tests/test_traffic_share.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-
 import pytest
 
 from linetrack.decide.traffic_share import EVEN_WEIGHT, RENEW_AFTER, WINDOW, TrafficShare
 from linetrack.evidence import SECOND, Evidence
-from linetrack.interface import Arrival, Ended, Entry, FleetNews, Health, ListForm, Load, Outcome, Send
+from linetrack.interface import Arrival, Ended, Entry, FleetNews, ListForm, Load, Outcome, Send
 from linetrack.records import Upstream
 from linetrack.rules import Balancer
 from tests.helpers import MS, SAFE, settings
@@ -19,18 +17,18 @@
 
 def reported(rate: float) -> dict[int, Evidence]:
     """Both kinds report this rate, in requests a second, for each of their upstreams."""
-    rates: dict[int, Evidence] = defaultdict(Evidence)
-    for kind in (0, 1):
-        rates[kind].add(BEGIN, rate / SECOND)
+    rates = {0: Evidence(), 1: Evidence()}
+    for evidence in rates.values():
+        evidence.add(BEGIN, rate / SECOND)
     return rates
 
 
-def after(instances: int, sends: int, rate: float, upstreams: list[Upstream] = UPSTREAMS) -> float:
+def after(instances: int, sends: int, rate: float) -> float:
     """The estimate after so many evenly spaced sends in several windows, rates reported all along."""
     share, span = TrafficShare(instances), 4 * WINDOW
     for n in range(sends):
         share.sent(BEGIN + n * span // sends)
-    return share.estimate(BEGIN + span, upstreams, reported(rate))
+    return share.estimate(BEGIN + span, UPSTREAMS, reported(rate))
 
 
 def test_an_instance_with_more_traffic_has_the_larger_share() -> None:
@@ -98,8 +96,7 @@
     for number in range(1, arrivals + 1):
         now += int(SECOND / (fleet_rate * share_of_traffic))
         if balancer.fleet.get("cold") is None and now > cold_at:
-            cold = Entry("cold", health=Health.UP, started=now)
-            balancer.handle(now, FleetNews(ListForm.CHANGES, (cold,)))
+            balancer.handle(now, FleetNews(ListForm.CHANGES, (Entry("cold", started=now),)))
         for action in balancer.handle(now, Arrival(number, SAFE, 2 * SECOND)):
             if isinstance(action, Send):
                 sent += action.upstream == "cold"
