Slow start: an endpoint whose start lies ahead of the clock no longer ends the process

What callers saw: without a warm-up in the settings, and an upstream whose listed start lay ahead of the sidecar's clock (a few milliseconds at a deploy will do), the first request's connection was closed without a response and the process ended with status 1, and again after each start.

Cause: SlowStart.track took the endpoint to warm up until its start, and Endpoint.warm_fraction_at divided its age by a warm-up of 0.

The two new tests of tests/policy/test_slow_start.py failed before: with start 1 us, 3 s and 300 s ahead by ZeroDivisionError, and where there is a warm-up, by one that had not begun 300 s later.

Why it works: without a warm-up nothing is warming, whatever the start. A start ahead counts as the moment of listing, kept in warmup_started_at, so that later lists don't move it on; the stated start stays what tells one process of an endpoint from the next. warm_fraction_at is also asked by an instance under earlier settings without a warm-up, so it looks at the settings itself.

--- a/linetrack/policy/balancer.py
+++ b/linetrack/policy/balancer.py
@@ -219,7 +219,7 @@
         self.outcomes.retire()
         self.weights.stop_caching()
         self.slow_start.always_check()  # no list updates come here any more
-        if new.endpoint_list.take_over(self.endpoint_list):
+        if new.endpoint_list.take_over(self.now, self.endpoint_list):
             self.weights.clear_cache()
         return new
 
--- a/linetrack/policy/endpoint.py
+++ b/linetrack/policy/endpoint.py
@@ -92,7 +92,7 @@
         "is_unlisted", "last_response_at", "last_used_at", "latency_factor", "load_reported_at",
         "loaded_factor", "max_send_tokens", "name", "name_hash", "reported_load", "selection_weight",
         "send_allowance", "send_allowance_expires_at", "send_tokens", "send_tokens_at", "started_at",
-        "warm_at", "warm_fraction", "warmup_sends", "zone",
+        "warm_at", "warm_fraction", "warmup_sends", "warmup_started_at", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: EndpointEntry) -> None:
@@ -133,6 +133,7 @@
         self.connected_until = 0  # until when there is a connection to it that may be reused
         self.answered_sent_at = 0  # when the latest of those attempts was sent that were answered
         # slow_start
+        self.warmup_started_at = entry.started_at  # the stated start, or when it was listed if that lay ahead
         self.warm_at = 0  # until then it has a part of its capacity only
         self.warmup_sends: list[int] = []
         self.send_allowance = 0.0  # this instance's attempts in one overload window
@@ -146,10 +147,13 @@
         return (((self.name_hash ^ mark) * HASH_MULTIPLIER & 0xFFFFFFFF) + 1) / HASH_RANGE
 
     def warm_fraction_at(self, now: int, settings: Settings) -> float:
-        """Return the fraction of its capacity that it can be counted on to have at this time."""
-        if now >= self.warm_at:
+        """Return the fraction of its capacity that it can be counted on to have at this time.
+
+        The settings may be earlier ones, under which requests still end and no endpoint warms up.
+        """
+        if now >= self.warm_at or not settings.slow_start_duration:
             return 1.0
-        age = max(0, now - self.started_at) / settings.slow_start_duration
+        age = max(0, now - self.warmup_started_at) / settings.slow_start_duration
         initial = settings.slow_start_initial_fraction
         return min(1.0, initial + (1 - initial) * age)
 
--- a/linetrack/policy/endpoint_list.py
+++ b/linetrack/policy/endpoint_list.py
@@ -100,7 +100,7 @@
         self._endpoints.pop(endpoint.name, None)
         self._routable = []
 
-    def take_over(self, predecessor: EndpointList) -> bool:
+    def take_over(self, now: int, predecessor: EndpointList) -> bool:
         """Go on with the endpoints of an instance under other settings; return whether some were removed.
 
         Where removal was advisory and is no longer, what discovery has removed is removed now.
@@ -113,7 +113,7 @@
                 predecessor._routable = []
                 is_any_removed = True
             endpoint.forget_classes_and_load()
-            self._slow_start.track(endpoint)
+            self._slow_start.track(now, endpoint)
         return is_any_removed
 
     def _update_endpoint(self, now: int, entry: EndpointEntry) -> None:
@@ -128,7 +128,7 @@
             is_removed = not endpoint.is_routable
         endpoint.is_routable = not is_removed and entry.status is not EndpointStatus.DRAINING
         endpoint.is_unlisted = False
-        self._slow_start.track(endpoint)
+        self._slow_start.track(now, endpoint)
         # a capacity that is no positive number says nothing
         endpoint.capacity = entry.capacity if 0 < entry.capacity < math.inf else 1.0
         endpoint.estimate_expires_at = 0
--- a/linetrack/policy/slow_start.py
+++ b/linetrack/policy/slow_start.py
@@ -48,10 +48,15 @@
         self._traffic_share = TrafficShare(settings.instance_count)
         self._warming_until = 0  # when the last of all endpoints is warm
 
-    def track(self, endpoint: Endpoint) -> None:
-        """Note until when a listed endpoint warms up; one without a stated start is warm."""
-        started_at = endpoint.started_at
-        endpoint.warm_at = started_at + self._settings.slow_start_duration if started_at else 0
+    def track(self, now: int, endpoint: Endpoint) -> None:
+        """Note until when a listed endpoint warms up; one without a stated start is warm.
+
+        Clocks differ: a start that lies ahead of this instance's clock counts as now.
+        """
+        endpoint.warmup_started_at = min(now, endpoint.warmup_started_at)
+        duration = self._settings.slow_start_duration
+        warms_up = bool(duration and endpoint.started_at)
+        endpoint.warm_at = endpoint.warmup_started_at + duration if warms_up else 0
         self._warming_until = max(self._warming_until, endpoint.warm_at)
 
     def always_check(self) -> None:
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -117,3 +117,26 @@
     for at, (_, tokens) in enumerate(parts):
         wanted = caps[at] if tokens is not None else (1 - sum(caps)) * warm[at] / (sum(warm) or 1.0)
         assert clipped[at] / total == pytest.approx(wanted, abs=1e-6)
+
+
+@pytest.mark.parametrize("ahead", [1, 3 * SECOND, 300 * SECOND])
+def test_without_a_warm_up_an_endpoint_is_warm_although_its_start_lies_ahead(ahead: int) -> None:
+    """Guards against a division by 0 that ended the process at its first request."""
+    driver = Driver(entries=(), slow_start_duration=0)
+    entry = EndpointEntry("new", started_at=driver.now + ahead)
+    driver.feed(EndpointListUpdate(ListForm.SNAPSHOT, (entry,)))
+    assert [driver.serve(latency=MS) for _ in range(20)] == ["new"] * 20
+
+
+def test_a_start_that_lies_ahead_counts_as_the_moment_at_which_it_was_listed() -> None:
+    """Guards against a warm-up that lasts longer by what two clocks differ, or begins anew with each list."""
+    driver = Driver(entries=())
+    listed_at = driver.now
+    entry = EndpointEntry("new", started_at=listed_at + 300 * SECOND)
+    for _ in range(5):
+        driver.feed(EndpointListUpdate(ListForm.SNAPSHOT, (entry,)), after=SECOND)
+    settings, record = driver.balancer.settings, driver.balancer.endpoints["new"]
+    first_listed_at = listed_at + SECOND
+    assert record.warm_fraction_at(first_listed_at, settings) == pytest.approx(0.2)
+    assert record.warm_fraction_at(first_listed_at + 5 * SECOND, settings) == pytest.approx(0.6)
+    assert record.warm_fraction_at(first_listed_at + 10 * SECOND, settings) == 1
