Slow start: a warm-up without an overload rule no longer ends the process

What callers saw: with a warm-up and fallMultiple or overloadForUs 0 or missing (in the operators' file warm_up_ms alone, as both others default to 0), the first request that could go to a warming upstream had its connection closed without a response and the process ended with status 1, at all sidecars, at each rollout.

Cause: SlowStart.permits divided by the window of the rule and made a whole number of an allowance that is infinite without it.

The new tests failed before: three forms of a missing rule, and the one of requests that end under earlier settings without a warm-up, which overflowed in the same line.

Why it works: an infinite allowance says that nothing bounds the sum, and is asked first.

--- a/linetrack/cli/sidecar.py
+++ b/linetrack/cli/sidecar.py
@@ -11,7 +11,7 @@
 
 from linetrack.cli.common import FILE, exit_bad_input
 from linetrack.config.check import FileError, json_schema
-from linetrack.config.operators import OperatorsFile, platform_form, read_operators_file
+from linetrack.config.operators import OperatorsFile, platform_form, read_operators_file, warnings
 
 
 @click.command()
@@ -43,9 +43,12 @@
     from linetrack.server.config import ConfigError, parse_config
 
     try:
-        parse_config(platform_form(read_operators_file(path)), {})
+        file = read_operators_file(path)
+        parse_config(platform_form(file), {})
     except (FileError, ConfigError) as error:
         exit_bad_input(error)
+    for warning in warnings(file):
+        click.echo(f"{path}: warning: {warning}", err=True)
     click.echo(f"{path}: sound")
 
 
--- a/linetrack/config/operators.py
+++ b/linetrack/config/operators.py
@@ -209,6 +209,25 @@
     return read_toml(path, OperatorsFile)
 
 
+def warnings(file: OperatorsFile) -> list[str]:
+    """What an operator may not have meant, a line each, though the file is sound."""
+    upstreams = file.upstreams
+    has_multiple = bool(upstreams.overload_multiple)
+    has_window = bool(upstreams.overload_window_ms)
+    lines = []
+    if has_multiple != has_window:
+        given, missing = (
+            ("fall_multiple", "overload_ms") if has_multiple else ("overload_ms", "fall_multiple")
+        )
+        lines.append(f"upstreams.{given} without upstreams.{missing}: there is no overload rule")
+    if upstreams.slow_start_ms and not (has_multiple and has_window):
+        lines.append(
+            "upstreams.warm_up_ms without fall_multiple and overload_ms: attempts at an upstream"
+            " that warms up are weighted, not bounded"
+        )
+    return lines
+
+
 def platform_form(file: OperatorsFile) -> dict[str, Any]:
     """The same values in the platform's form, which the program reads."""
     sidecar = file.sidecar
--- a/linetrack/policy/slow_start.py
+++ b/linetrack/policy/slow_start.py
@@ -70,6 +70,8 @@
     def permits(self, now: int, request: Request, endpoint: Endpoint) -> bool:
         """Return whether a warming endpoint may be sent this request's next attempt."""
         allowance = self._send_allowance(now, endpoint)
+        if allowance == math.inf:
+            return True
         if allowance * MAX_WINDOWS_PER_TURN < 1:
             # chosen at random within the send tokens, or not at all: retries do not go there by rotation
             is_candidate = endpoint in (request.first_candidate, request.second_candidate)
@@ -136,7 +138,11 @@
         return True
 
     def _send_allowance(self, now: int, endpoint: Endpoint) -> float:
-        """Return this instance's attempts in one overload window; an estimate stands for a while."""
+        """Return this instance's attempts in one overload window; an estimate stands for a while.
+
+        It is infinite where the settings state no overload rule, so that there is no bound to share out, and
+        under earlier settings by which the endpoint is warm.
+        """
         if now < endpoint.send_allowance_expires_at:
             return endpoint.send_allowance
         settings = self._settings
--- a/tests/config/test_operators_file.py
+++ b/tests/config/test_operators_file.py
@@ -44,6 +44,29 @@
     assert "extraWindowUs" in result.stderr
 
 
+@pytest.mark.parametrize(
+    ("keys", "said"),
+    [
+        ("fall_multiple = 3.0\noverload_ms = 1000", []),
+        ("fall_multiple = 3.0", ["fall_multiple without upstreams.overload_ms", "weighted, not bounded"]),
+        ("overload_ms = 1000", ["overload_ms without upstreams.fall_multiple", "weighted, not bounded"]),
+        ("", ["weighted, not bounded"]),
+    ],
+)
+def test_a_check_warns_where_the_overload_rule_lacks_a_key(
+    tmp_path: Path, keys: str, said: list[str]
+) -> None:
+    path = tmp_path / "f.toml"
+    rule = "fall_multiple = 3.0\noverload_ms = 1000"
+    assert rule in SAMPLE.read_text()
+    path.write_text(SAMPLE.read_text().replace(rule, keys, 1))
+    result = CliRunner().invoke(cli, ["config", "check", str(path)])
+    lines = result.stderr.splitlines()
+    assert result.exit_code == 0
+    assert len(lines) == len(said)
+    assert all(part in line for part, line in zip(said, lines, strict=True))
+
+
 INVALID = [
     (
         "max_attempts = 3",
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 import pytest
 from hypothesis import given, strategies
 
@@ -140,3 +142,27 @@
     assert record.warm_fraction_at(first_listed_at, settings) == pytest.approx(0.2)
     assert record.warm_fraction_at(first_listed_at + 5 * SECOND, settings) == pytest.approx(0.6)
     assert record.warm_fraction_at(first_listed_at + 10 * SECOND, settings) == 1
+
+
+@pytest.mark.parametrize(
+    ("overload_multiple", "overload_window"), [(0.0, 0), (0.0, SECOND), (3.0, 0)], ids=str
+)
+def test_without_an_overload_rule_a_warming_endpoint_gets_its_graded_odds_and_no_more(
+    overload_multiple: float, overload_window: int
+) -> None:
+    """Guards against a division by 0 or an overflow that ended the process at its first request."""
+    entries = (EndpointEntry("warm"), EndpointEntry("new", started_at=999 * SECOND))
+    driver = Driver(entries=entries, overload_multiple=overload_multiple, overload_window=overload_window)
+    served = Counter(driver.serve(latency=MS) for _ in range(500))
+    # a fraction w of the capacity weighs the odds by w ** 1.5: 0.28 ** 1.5 is 0.15 of the warm one's
+    assert 0.05 < served["new"] / served["warm"] < 0.30
+
+
+def test_requests_under_earlier_settings_without_a_warm_up_end_beside_a_warming_endpoint() -> None:
+    """Guards against a division by 0 in the instance that still ends them after a switch of settings."""
+    driver = Driver(entries=(EndpointEntry("new", started_at=990 * SECOND),), slow_start_duration=0)
+    request, actions = driver.ask()
+    earlier = driver.balancer
+    driver.switch_settings(slow_start_duration=60 * SECOND)
+    ended = AttemptEnded(request, 0, sends(actions)[0], Outcome.CONNECT_FAILED, MS)
+    assert earlier.handle(driver.now + MS, ended)
