Slow start: an endpoint that starts with no capacity no longer ends the process

What callers saw: with coldFrom (cold_from) 0, which both files accept, and a warm-up, the first request after an upstream was listed at the moment of its start was closed without a response, and the process ended.

Cause: LatencyModel.expected_latency divides by the warm fraction, 0 at the start and, where the start lies ahead of the clock, before it.

Evidence: the new test failed before, with and without an overload rule, by ZeroDivisionError.

Why it works: the fraction is at least 0.01. The settings' fraction is the least that an endpoint can be counted on to have; one that answers at all has some. Settings from 0.01 on decide as before.

--- a/linetrack/policy/endpoint.py
+++ b/linetrack/policy/endpoint.py
@@ -15,6 +15,7 @@
 from linetrack.policy.time_units import SECOND
 
 ESTIMATE_LIFETIME = SECOND  # for so long an estimate for an idle endpoint is used before it is renewed
+MIN_WARM_FRACTION = 0.01  # one that is listed as up has some capacity, whatever the settings say
 HASH_MULTIPLIER = 0x9E3779B1  # 2^32 over the golden ratio: spreads near values over the range
 HASH_RANGE = 2**32
 
@@ -154,7 +155,7 @@
         if now >= self.warm_at or not settings.slow_start_duration:
             return 1.0
         age = max(0, now - self.warmup_started_at) / settings.slow_start_duration
-        initial = settings.slow_start_initial_fraction
+        initial = max(MIN_WARM_FRACTION, settings.slow_start_initial_fraction)
         return min(1.0, initial + (1 - initial) * age)
 
     def export_state(self) -> EndpointState:
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -166,3 +166,20 @@
     driver.switch_settings(slow_start_duration=60 * SECOND)
     ended = AttemptEnded(request, 0, sends(actions)[0], Outcome.CONNECT_FAILED, MS)
     assert earlier.handle(driver.now + MS, ended)
+
+
+@pytest.mark.parametrize("overload_multiple", [0.0, 3.0])
+def test_an_endpoint_that_starts_with_no_capacity_is_used_as_it_warms_up(overload_multiple: float) -> None:
+    """Guards against a division by 0 at the moment of its start."""
+    driver = Driver(
+        entries=(EndpointEntry("new", started_at=1000 * SECOND),),
+        slow_start_initial_fraction=0.0,
+        overload_multiple=overload_multiple,
+    )
+    served = 0
+    for _ in range(100):
+        request, actions = driver.ask(after=100 * MS)
+        for endpoint in sends(actions):
+            driver.end(request, endpoint, latency=MS)
+            served += 1
+    assert served
