Test of a start with no capacity: the first request comes at the moment of the start

With the first request at the start it fails on the code before the fix, with and without an overload rule, by ZeroDivisionError, and passes with it.

--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -177,8 +177,8 @@
         overload_multiple=overload_multiple,
     )
     served = 0
-    for _ in range(100):
-        request, actions = driver.ask(after=100 * MS)
+    for step in range(100):
+        request, actions = driver.ask(after=100 * MS if step else 0)
         for endpoint in sends(actions):
             driver.end(request, endpoint, latency=MS)
             served += 1
