Load reports and weights: a number beyond all measure no longer ends the process

What callers saw: after one load report of 1e300 from one upstream, or one such weight in the list, a request's connection was closed without a response and the process ended.

Cause: both were checked for sign, infinity and NaN only. The expected latency grows with the load and its power in Admission.net_values raises OverflowError.

The new test failed before in all five forms by OverflowError.

Why it works: a value over 1e9 and a weight outside 1e-6 to 1e9 are passed over, as negative ones are; no power of a latency that is made of these reaches 1e308.

--- a/linetrack/policy/endpoint_list.py
+++ b/linetrack/policy/endpoint_list.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from random import Random
 
 from linetrack.policy.actions import Action, SetTimer, WatchEndpoints
@@ -20,6 +19,8 @@
 POLL_TOKEN = "ask"  # of the timer after which to subscribe
 START_SPACING = 10_000  # time between first polls, over all instances that start together
 MIN_POLL_BACKOFF = 1 * SECOND  # doubles up to half of the poll interval
+MIN_LISTED_CAPACITY = 1e-6
+MAX_LISTED_CAPACITY = 1e9
 MAX_UNLISTED = 2_048  # records kept of endpoints that are no longer listed, where removal is advisory
 
 
@@ -129,8 +130,9 @@
         endpoint.is_routable = not is_removed and entry.status is not EndpointStatus.DRAINING
         endpoint.is_unlisted = False
         self._slow_start.track(now, endpoint)
-        # a capacity that is no positive number says nothing
-        endpoint.capacity = entry.capacity if 0 < entry.capacity < math.inf else 1.0
+        # a capacity that is no positive number, or beyond all others, says nothing
+        is_plausible = MIN_LISTED_CAPACITY <= entry.capacity <= MAX_LISTED_CAPACITY
+        endpoint.capacity = entry.capacity if is_plausible else 1.0
         endpoint.estimate_expires_at = 0
         if self._settings.capacity_varies_with_load:
             self._models.load_reports.record_listed_capacity(now, endpoint, endpoint.capacity)
--- a/linetrack/policy/load_reports.py
+++ b/linetrack/policy/load_reports.py
@@ -12,6 +12,7 @@
 from linetrack.policy.settings import LoadField, Settings
 from linetrack.policy.time_units import SECOND
 
+MAX_REPORTED_VALUE = 1e9  # a greater one says nothing
 MAX_UTILIZATION = 0.85  # a reported utilization from here on says little about the load
 REPORT_DECAY_TIME = 1 * SECOND  # a load report that is not renewed fades to its zone's mean over this time
 LIST_SMOOTHING_TIME = 3 * SECOND  # all instances see the same list; a load from it is smoothed over this time
@@ -58,7 +59,7 @@
     def record_report(self, now: int, endpoint: Endpoint, values: tuple[float, ...]) -> None:
         """Take in a load report; values that make no sense are passed over."""
         fields = zip(self._settings.load_report_fields, values, strict=False)
-        report = {field: value for field, value in fields if 0 <= value < math.inf}
+        report = {field: value for field, value in fields if 0 <= value <= MAX_REPORTED_VALUE}
         if LoadField.REQUEST_RATE in report and endpoint.warm_fraction_at(now, self._settings) >= 1:
             self._request_rates[endpoint.host_class].add(now, report[LoadField.REQUEST_RATE] / SECOND)
         if self._settings.capacity_varies_with_load:
--- a/tests/policy/test_load_reports.py
+++ b/tests/policy/test_load_reports.py
@@ -16,7 +16,7 @@
 from linetrack.policy.load_reports import LoadReports
 from linetrack.policy.settings import LoadField
 from tests import helpers
-from tests.helpers import IDEMPOTENT, MS, SECOND, Driver, sends
+from tests.helpers import IDEMPOTENT, MS, SECOND, Driver, listed_entries, sends
 
 
 def home_weights(driver: Driver) -> list[float]:
@@ -129,3 +129,16 @@
     later = now + 30 * SECOND
     assert reports.load_beyond_own(later, busy) == pytest.approx(reports.load_beyond_own(later, idle))
     assert 2.0 < reports.load_beyond_own(later, busy) < 6.0
+
+
+@pytest.mark.parametrize("value", [1e300, 1e-300, float("inf"), float("nan"), -1.0])
+def test_a_report_or_capacity_beyond_all_measure_is_passed_over(value: float) -> None:
+    """Guards against one garbled number of one endpoint that overflowed and ended the process."""
+    driver = Driver(entries=listed_entries(2, 0), load_report_fields=(LoadField.QUEUE_DEPTH,))
+    for _ in range(20):
+        driver.serve(report=(value,))
+    varying = driver_with_varying_capacities({"a": 1.0, "b": 1.0})
+    for _ in range(20):
+        varying.feed(list_update({"a": value, "b": 1e300}), SECOND)
+        varying.serve(report=(value,))
+    assert all(record.reported_load <= 1 for record in varying.balancer.endpoints.values())
