Settings: numbers that no decision can rest on are named when the file is read

What callers saw: with a negative quota, fraction, multiple, window or weight, or one beyond all measure, the sidecar started and ended at a later event with everything in flight.

Cause: linetrack/settings.py asked of most numbers only that they are finite.

Why it works: durations are 0 to a year, ratios, prices, weights and rates 0 to 1e12; the rest is one line with the key, status 2 at a start and nothing changed at a reload.

--- a/linetrack/settings.py
+++ b/linetrack/settings.py
@@ -34,6 +34,9 @@
 }
 #: Values of `weights`, and whether the listed capacities vary with load.
 CAPACITY_VARIES_BY_NAME = {"off": False, "nominal": False, "rough": False, "live": True}
+#: Beyond these no number is plausible, and sums and powers of it would overflow.
+MAX_NUMBER = 1e12
+MAX_DURATION_US = 366 * 24 * 3600 * 1_000_000
 BOOLEAN_BY_TEXT = {"true": True, "1": True, "false": False, "0": False}
 #: Keys of `rules` that limit retries; the window is required as soon as one of them is present.
 RETRY_WINDOW_KEYS = ("freeResends", "furtherRatio", "extraWindowUs")
@@ -126,6 +129,13 @@
             raise self._error(name, "is not a number", value)
         return number
 
+    def duration(self, name: str, minimum: int, default: int | None = None) -> int:
+        """A time in microseconds, of a year at most; required where there is no default."""
+        number = self.integer_at_least(name, minimum, default)
+        if number > MAX_DURATION_US:
+            raise SettingsError(self.path_of(name), f"is over {MAX_DURATION_US}", str(number))
+        return number
+
     def integer(self, name: str, default: int | None = None) -> int:
         """A whole number; required where there is no default."""
         number = self.number(name, default)
@@ -134,10 +144,12 @@
         return int(number)
 
     def number_at_least(self, name: str, minimum: float, default: float | None = None) -> float:
-        """A number that is not below the minimum."""
+        """A number that is not below the minimum, nor beyond `MAX_NUMBER`."""
         number = self.number(name, default)
         if number < minimum:
             raise SettingsError(self.path_of(name), f"is under {minimum:g}", f"{number:g}")
+        if number > MAX_NUMBER:
+            raise SettingsError(self.path_of(name), f"is over {MAX_NUMBER:g}", f"{number:g}")
         return number
 
     def integer_at_least(self, name: str, minimum: int, default: int | None = None) -> int:
@@ -190,16 +202,16 @@
 
 
 def _read_class(node: SettingsNode) -> RequestClass:
-    timeout = node.integer_at_least("deadlineUs", 1)
+    timeout = node.duration("deadlineUs", 1)
     return RequestClass(
         idempotency=node.one_of("repeat", IDEMPOTENCY_BY_NAME, "single_shot"),
-        latency_objective=node.integer_at_least("aimUs", 1, timeout),
+        latency_objective=node.duration("aimUs", 1, timeout),
         timeout=timeout,
         latency_objective_stretch=node.number("aimStretch", 0.0),
-        priority_weight=node.number("worth", 1.0),
-        late_weight=node.number("lateWorth", 0.0),
+        priority_weight=node.number_at_least("worth", 0.0, 1.0),
+        late_weight=node.number_at_least("lateWorth", 0.0, 0.0),
         deduplication_scope=node.one_of("dedupScope", DEDUPLICATION_SCOPE_BY_NAME, "all"),
-        deduplication_window=node.integer("dedupWindowUs", 0),
+        deduplication_window=node.duration("dedupWindowUs", 0, 0),
         streams_response=node.boolean("stream"),
     )
 
@@ -226,12 +238,12 @@
     """Draining, slow start and overload of endpoints."""
     return replace(
         settings,
-        poll_interval=rules.integer("askEveryUs", 0),
-        drain_grace=rules.integer("drainGraceUs", 0),
-        slow_start_initial_fraction=rules.number("coldFrom", 1.0),
-        slow_start_duration=rules.integer("warmUpUs", 0),
-        overload_multiple=rules.number("fallMultiple", 0.0),
-        overload_window=rules.integer("overloadForUs", 0),
+        poll_interval=rules.duration("askEveryUs", 0, 0),
+        drain_grace=rules.duration("drainGraceUs", 0, 0),
+        slow_start_initial_fraction=rules.number_at_least("coldFrom", 0.0, 1.0),
+        slow_start_duration=rules.duration("warmUpUs", 0, 0),
+        overload_multiple=rules.number_at_least("fallMultiple", 0.0, 0.0),
+        overload_window=rules.duration("overloadForUs", 0, 0),
     )
 
 
@@ -243,7 +255,7 @@
         may_send_health_checks=allowed.boolean("mayProbe"),
         may_run_parallel_attempts=allowed.boolean("parallelTries"),
         may_send_retry_after=allowed.boolean("retryAfter"),
-        max_retry_after=allowed.integer("maxRetryAfterUs", 0),
+        max_retry_after=allowed.duration("maxRetryAfterUs", 0, 0),
         max_attempts=allowed.integer_at_least("maxAttempts", 1, 1),
     )
 
@@ -252,14 +264,16 @@
     """What the deployment's score counts, deducts and weighs."""
     return replace(
         settings,
-        cross_zone_cost=costs.number("crossZone", 0.0),
-        wasted_work_cost=costs.number("waste", 0.0),
-        late_failure_cost=costs.number("lateFail", 0.0),
+        cross_zone_cost=costs.number_at_least("crossZone", 0.0, 0.0),
+        wasted_work_cost=costs.number_at_least("waste", 0.0, 0.0),
+        late_failure_cost=costs.number_at_least("lateFail", 0.0, 0.0),
         weighs_by_work=root.text("worthBy", "request") == "work",
         goal_weight_of_total=goal.number("whole", 1.0),
         goal_weight_of_worst_class=goal.number("worstClass", 0.0),
-        tenant_quotas=tuple(tenant.number("quotaRps", 0.0) for tenant in root.children("customers")),
-        over_quota_weight=root.number("overShareWorth", 1.0),
+        tenant_quotas=tuple(
+            tenant.number_at_least("quotaRps", 0.0, 0.0) for tenant in root.children("customers")
+        ),
+        over_quota_weight=root.number_at_least("overShareWorth", 0.0, 1.0),
     )
 
 
@@ -277,7 +291,7 @@
     return replace(
         settings,
         max_streams_per_connection=allowed.integer_at_least("multiplex", 1, 1),
-        keep_alive_timeout=allowed.integer_at_least("keepaliveUs", 0, 0),
+        keep_alive_timeout=allowed.duration("keepaliveUs", 0, 0),
     )
 
 
@@ -287,7 +301,7 @@
     is_limited = any(key in rules.values for key in RETRY_WINDOW_KEYS)
     return replace(
         settings,
-        retry_window=rules.integer_at_least("extraWindowUs", 1) if is_limited else 0,
+        retry_window=rules.duration("extraWindowUs", 1) if is_limited else 0,
         retry_window_allowance=rules.number_at_least("freeResends", 0.0, 0.0),
         retry_window_ratio=rules.number_at_least("furtherRatio", 0.0, 0.0),
         removal_is_advisory=rules.boolean("goneIsAdvice"),
