Hot restart: a handover that its successor's end interrupts no longer undoes the way back

What callers saw: where the successor ended while the predecessor was writing the handover, the predecessor accepted on and was ended by SIGKILL with requests on it.

Cause: HotRestart.execute noted a command after carrying it out. RESUME runs in the channel's greenlet while HAND_OVER waits to write, so HAND_OVER noted itself over it; wait_for_handover returned True and nothing was closed between requests. The rest of the handover also went on behind RESUME: accepting greenlet forgotten, descriptors yielded, retry window blocked for good, migrate set; and with no connection the end of the wait said "handed over".

Evidence: tests/server/test_interrupted_handover.py, the successor's end forced at four steps in the program's own code. Three failed before (before the state, while it is written, behind it), one passed. On real processes over a real Unix socket, with requests in flight, half read and new, the successor ending after none to three frames: all answered 200 and status 0 in its time, before the change too, as the overlap needs a write that waits. A full channel buffer was not forced on real processes.

Why it works: the latest command is noted first and counts; each step behind a wait asks whether it still does.

--- a/linetrack/server/hot_restart.py
+++ b/linetrack/server/hot_restart.py
@@ -196,7 +196,12 @@
 
     # --- Commands of both state machines -----------------------------------------------------------
     def execute(self, command: Command) -> None:
-        """Do what a state machine asks of the program."""
+        """Do what a state machine asks of the program.
+
+        A command may come while an earlier one still waits for the channel: the later one counts.
+        """
+        if command in SHUTDOWN_COMMANDS:
+            self._shutdown_command = command
         match command:
             case Command.START_ACCEPTING:
                 self._take_over()
@@ -206,8 +211,6 @@
                 self._hand_over()
             case Command.RESUME:
                 self._resume()
-        if command in SHUTDOWN_COMMANDS:
-            self._shutdown_command = command
 
     def _take_over(self) -> None:
         if not self._has_restored_policy:
@@ -217,21 +220,26 @@
         self.start_accepting()
 
     def _hand_over(self) -> None:
-        """Leave new connections, what is known and the open connections to the successor."""
+        """Leave new connections, what is known and the open connections to the successor.
+
+        Where the successor ends while a step waits, RESUME takes everything back, and no further step is taken.
+        """
         assert self._predecessor is not None
         assert self._predecessor.channel is not None
         channel = self._predecessor.channel
         self.stop_accepting()
+        if not self._is_handing_over():
+            return
         self._upstreams.close_all_idle()
-        channel.send(
-            Handover(
-                socket_limit=self._budget.descriptors.yield_to_successor(),
-                request_ids=self._listener.validator.recent_ids.export(),
-                policy_snapshot=self._policy_switch.hand_over(),
-                settings_digest=self._current_config().digest,
-            )
+        handover = Handover(
+            socket_limit=self._budget.descriptors.yield_to_successor(),
+            request_ids=self._listener.validator.recent_ids.export(),
+            policy_snapshot=self._policy_switch.hand_over(),
+            settings_digest=self._current_config().digest,
         )
-        self._listener.migrate_connections(partial(self._migrate_client, channel))
+        is_sent = channel.send(handover)
+        if is_sent and self._is_handing_over():
+            self._listener.migrate_connections(partial(self._migrate_client, channel))
 
     def _migrate_client(self, channel: HotRestartChannel, descriptor: int, response_count: int) -> bool:
         """Send a client connection to the successor; return whether it was sent."""
@@ -264,22 +272,20 @@
 
         Returns False where there is no successor, or it ends before that.
         """
-        if self._shutdown_command is not Command.HAND_OVER:
-            return False
-        while self._listener.connections and clock() < deadline:
-            if self._has_resumed():
-                return False
+        while self._is_handing_over() and self._listener.connections and clock() < deadline:
             gevent.sleep(POLL_SECONDS)
-        return True
+        return self._is_handing_over()
 
-    def _has_resumed(self) -> bool:
-        return self._shutdown_command is Command.RESUME
+    def _is_handing_over(self) -> bool:
+        return self._shutdown_command is Command.HAND_OVER
 
     def stop_accepting(self) -> None:
         """Accept no more connections; they wait in the listening socket's queue."""
-        if self._accepting is not None:
-            self._accepting.kill()
-            self._accepting = None
+        accepting = self._accepting
+        # first, as accepting may begin again while this greenlet waits for the end of that one
+        self._accepting = None
+        if accepting is not None:
+            accepting.kill()
 
 
 def _is_address_in_use(fault: BaseException) -> bool:
--- /dev/null
+++ b/tests/server/test_interrupted_handover.py
@@ -0,0 +1,164 @@
+"""The successor ends at any step of the handover: the predecessor takes all back and shuts down by itself."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import gevent
+import pytest
+
+from linetrack.control.hot_restart import Command
+from linetrack.policy.balancer import Balancer
+from linetrack.server.clock import clock
+from linetrack.server.config import parse_config
+from linetrack.server.hot_restart_channel import HotRestartChannel, socket_path
+from linetrack.server.hot_restart_messages import ClientHandover, Handover, HotRestartMessage
+from linetrack.server.hot_restart_predecessor import Predecessor
+from linetrack.server.lifecycle import Sidecar
+from tests.server.recorded_hot_restart import RecordedPeer, recorded
+from tests.support.configuration import sidecar_config
+from tests.support.http import HttpConnection, HttpMessage, class_request, http_response
+from tests.support.servers import UpstreamServer
+from tests.support.sidecar_process import Deployment, SidecarProcess
+from tests.support.units import SECOND
+from tests.support.waiting import wait_until
+
+RETRY_WINDOW = 2 * SECOND
+
+
+class EndingChannel(HotRestartChannel):
+    """A channel to a successor that ends at one step; its end is seen while a frame waits to be taken."""
+
+    def __init__(self, step: str, on_end: Callable[[], None]) -> None:
+        super().__init__(gevent.socket.socket())
+        self.step = step
+        self.on_end = on_end
+        self.has_ended = False
+
+    def end(self) -> None:
+        self.has_ended = True
+        self.on_end()
+
+    def send(self, message: HotRestartMessage, _descriptors: tuple[int, ...] = ()) -> bool:
+        is_state = isinstance(message, Handover)
+        if is_state and self.step == "while the state is written":
+            self.end()
+        if is_state and self.step == "between the state and the first client":
+            gevent.spawn(self.end)
+        if isinstance(message, ClientHandover) and self.step == "while a client is written":
+            self.end()
+        return not self.has_ended
+
+
+STEPS = (
+    "before the state",
+    "while the state is written",
+    "between the state and the first client",
+    "while a client is written",
+)
+
+
+@pytest.fixture
+def predecessor(tmp_path: Path) -> Iterator[Sidecar]:
+    """A process that serves one client and has a successor, in this process."""
+    values = sidecar_config("127.0.0.1:9", [])
+    values["settings"]["rules"] = {"extraWindowUs": RETRY_WINDOW, "freeResends": 1}
+    sidecar = Sidecar(lambda: parse_config({**values, "listen": "127.0.0.1:1"}, {}))
+    sidecar.listener.listen(("127.0.0.1", 0))
+    assert sidecar.listener.listener is not None
+    hot_restart = sidecar.hot_restart
+    hot_restart._predecessor = Predecessor(
+        tmp_path / "s", hot_restart._identity, hot_restart._grant_listener, hot_restart.execute
+    )
+    hot_restart.start_accepting()
+    with gevent.Timeout(20), gevent.socket.create_connection(sidecar.listener.listener.getsockname()):
+        while not sidecar.listener.connections:
+            gevent.sleep(0)
+        yield sidecar
+    hot_restart.stop_accepting()
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_predecessor_whose_successor_ends_at_any_step_takes_everything_back(
+    predecessor: Sidecar, step: str
+) -> None:
+    """Guards against a handover that goes on behind its own undoing, so that the process never drains."""
+    hot_restart = predecessor.hot_restart
+    limit = predecessor.budget.descriptors.limit
+    channel = EndingChannel(step, lambda: hot_restart.execute(Command.RESUME))
+    assert hot_restart._predecessor is not None
+    hot_restart._predecessor.channel = channel
+    if step == "before the state":
+        gevent.spawn(channel.end)
+    hot_restart.execute(Command.HAND_OVER)
+    assert not hot_restart.wait_for_handover(clock() + 10 * SECOND)
+    assert channel.has_ended
+    assert hot_restart.is_accepting
+    assert predecessor.listener.migrate is None
+    assert len(predecessor.listener.connections) == 1
+    assert predecessor.budget.descriptors.limit == limit
+    policy = predecessor.policy_switch.policy
+    assert isinstance(policy, Balancer)
+    assert not policy.retry_window.is_exhausted(clock() + RETRY_WINDOW + SECOND)
+
+
+def stand_by(sidecar: SidecarProcess, folder: Path) -> RecordedPeer:
+    """Connect to the program as its successor, and report that it is ready."""
+    host, port = sidecar.address.split(":")
+    path = socket_path(str(folder), sidecar.config["name"], (host, int(port)))
+    sock = socket.socket(socket.AF_UNIX)
+    sock.connect(str(path))
+    peer = RecordedPeer(sock)
+    peer.send(recorded("hello"))
+    grant = peer.receive_next("grant")
+    peer.send(recorded("ready"))
+    wait_until(lambda: "hot_restart_ready" in sidecar.log())
+    socket.close(grant.descriptors[0])
+    return peer
+
+
+LONGEST_SHUTDOWN_SECONDS = 2.0 + 0.7  # the longest deadline, and what the platform adds until SIGKILL
+
+
+@pytest.mark.parametrize("frames", [(), ("leave",), ("leave", "client"), ("leave", "client", "client")])
+def test_what_a_predecessor_has_read_is_answered_although_its_successor_ends(
+    tmp_path: Path, frames: tuple[str, ...]
+) -> None:
+    """Guards against a process that goes on accepting and is then ended with requests on it."""
+    go = threading.Event()
+
+    def respond_late(_message: HttpMessage, _wire: HttpConnection) -> bytes:
+        go.wait(20)
+        return http_response(b"late")
+
+    world = Deployment(tmp_path, server := UpstreamServer("a", respond_late))
+    world.sidecar.environ["TMPDIR"] = str(tmp_path)
+    with world as old:
+        assert old.process is not None
+        waiting, half, *idle = [old.connect() for _ in range(4)]
+        waiting.sock.sendall(class_request())
+        half.sock.sendall(class_request()[:20])
+        wait_until(lambda: server.seen)
+        peer = stand_by(old, tmp_path)
+        old.process.send_signal(signal.SIGTERM)
+        ended_at = time.monotonic()
+        descriptors = [number for name in frames for number in peer.receive_next(name).descriptors]
+        peer.sock.close()
+        for descriptor in descriptors:
+            socket.close(descriptor)
+        half.sock.sendall(class_request()[20:])
+        late = old.connect()
+        late.sock.sendall(class_request())
+        wait_until(lambda: len(server.seen) == 3)
+        go.set()
+        replies = [wire.read() for wire in (waiting, half, late)]
+        assert [reply and reply.status for reply in replies] == [200, 200, 200]
+        assert old.process.wait(20) == 0, old.log()
+        assert time.monotonic() - ended_at < LONGEST_SHUTDOWN_SECONDS
+        for wire in idle:
+            wire.sock.close()
