Shutdown: the grace for new connections ends with the process's time

What callers saw: where a successor ended late in the predecessor's shutdown, the predecessor accepted for another 0.5 s, past the moment at which the platform kills it, with the requests of that half second on it.

Cause: Sidecar._shut_down slept the whole grace whatever was left until the deadline.

Evidence: the new test failed before, the grace ending 0.3 s behind the deadline; it passes with the change.

Why it works: the grace ends 0.1 s before the deadline at the latest, the moment by which responses are due.

Also: the bound of numbers in settings is 1e30 in place of 1e12.

--- a/linetrack/server/hot_restart.py
+++ b/linetrack/server/hot_restart.py
@@ -222,7 +222,7 @@
     def _hand_over(self) -> None:
         """Leave new connections, what is known and the open connections to the successor.
 
-        Where the successor ends while a step waits, RESUME takes everything back, and no further step is taken.
+        Where the successor ends while a step waits, RESUME takes everything back, and no step follows.
         """
         assert self._predecessor is not None
         assert self._predecessor.channel is not None
--- a/linetrack/server/lifecycle.py
+++ b/linetrack/server/lifecycle.py
@@ -20,6 +20,7 @@
 from linetrack.control.metrics import Metrics
 from linetrack.control.settings_switch import SettingsSwitch
 from linetrack.policy.balancer import Balancer
+from linetrack.policy.time_units import SECOND
 from linetrack.server.admin import AdminServer
 from linetrack.server.attempt_runner import AttemptRunner
 from linetrack.server.budget import Budget
@@ -40,12 +41,11 @@
 log = structlog.get_logger()
 
 CONNECT_GRACE_SECONDS = 0.5  # after SIGTERM, in which clients still connect
-FINAL_WRITE_GRACE_SECONDS = 0.1  # after the last response, for its last bytes to be read
+FINAL_WRITE_GRACE_US = 100_000  # after the last response, for its last bytes to be read
 DRAIN_POLL_SECONDS = 0.01  # between looks whether every request has its response
 ENDPOINT_LIST_TIMEOUT_SECONDS = 4.0  # after which a process serves without an answer of discovery
 GC_THRESHOLD = 20_000  # allocations between collections of young objects, which cost milliseconds
 FULL_GC_INTERVAL_SECONDS = 5.0  # between collections over all objects since the start: memory stays level
-SECOND_US = 1_000_000
 
 EXIT_OK = 0
 EXIT_CANNOT_LISTEN = 1
@@ -213,9 +213,9 @@
         self._enter(Phase.DRAINING)
         began = clock()
         self.hot_restart.begin_shutdown()
-        grace = int((CONNECT_GRACE_SECONDS + FINAL_WRITE_GRACE_SECONDS) * SECOND_US)
+        grace = int(CONNECT_GRACE_SECONDS * SECOND) + FINAL_WRITE_GRACE_US
         deadline = began + self.reloader.max_timeout + grace
-        self.dispatcher.shutdown_deadline = deadline - int(FINAL_WRITE_GRACE_SECONDS * SECOND_US)
+        self.dispatcher.shutdown_deadline = deadline - FINAL_WRITE_GRACE_US
         if not self.hot_restart.wait_for_handover(deadline):
             self._shut_down(deadline)
 
@@ -223,7 +223,7 @@
         """End without a successor: close every connection once no request is on it."""
         if self.hot_restart.is_accepting:
             # a process that never accepted leaves the waiting connections to the one that does
-            gevent.sleep(CONNECT_GRACE_SECONDS)
+            gevent.sleep(min(CONNECT_GRACE_SECONDS, _seconds_until(deadline - FINAL_WRITE_GRACE_US)))
             self.hot_restart.stop_accepting()
             # first, so that there is room for the connections that wait in the queue
             self.listener.close_between_requests()
@@ -280,6 +280,10 @@
     log.info("overload_phase_changed", phase=phase.value, **asdict(status))
 
 
+def _seconds_until(moment: int) -> float:
+    return max(0, moment - clock()) / SECOND
+
+
 def _tune_garbage_collection() -> None:
     """Collect seldom while serving: what was made until now stays, and is not looked at again."""
     gc.collect()
--- a/linetrack/settings.py
+++ b/linetrack/settings.py
@@ -35,7 +35,7 @@
 #: Values of `weights`, and whether the listed capacities vary with load.
 CAPACITY_VARIES_BY_NAME = {"off": False, "nominal": False, "rough": False, "live": True}
 #: Beyond these no number is plausible, and sums and powers of it would overflow.
-MAX_NUMBER = 1e12
+MAX_NUMBER = 1e30
 MAX_DURATION_US = 366 * 24 * 3600 * 1_000_000
 BOOLEAN_BY_TEXT = {"true": True, "1": True, "false": False, "0": False}
 #: Keys of `rules` that limit retries; the window is required as soon as one of them is present.
--- a/tests/server/test_interrupted_handover.py
+++ b/tests/server/test_interrupted_handover.py
@@ -162,3 +162,11 @@
         assert time.monotonic() - ended_at < LONGEST_SHUTDOWN_SECONDS
         for wire in idle:
             wire.sock.close()
+
+
+def test_a_process_that_resumes_late_in_its_shutdown_ends_in_its_time(predecessor: Sidecar) -> None:
+    """Guards against a grace for new connections that lasts until the process is killed."""
+    deadline = clock() + SECOND // 5
+    predecessor.dispatcher.shutdown_deadline = deadline
+    predecessor._shut_down(deadline)
+    assert clock() < deadline + SECOND // 5
