Slow start: settings with and without an overload rule share an endpoint's record safely

What callers saw: after a SIGHUP between settings without an overload rule and settings with one, a retry of a request under the earlier settings ended the process; the other way round, the earlier instance could lift the bound on a warming upstream for the later one, for a second.

Cause: the endpoint's record, and the allowance kept in it, is shared by both instances. The one without a rule read the other's allowance and divided by its own window of 0; or it kept "infinite" there for a second.

The new test failed before by ZeroDivisionError.

Why it works: an instance looks at its own settings first, and keeps no infinite allowance in the record.

--- a/linetrack/policy/slow_start.py
+++ b/linetrack/policy/slow_start.py
@@ -42,6 +42,7 @@
     ) -> None:
         """Start with an even share of the traffic; `endpoints` are the listed ones, by name."""
         self._settings = settings
+        self._has_overload_rule = bool(settings.overload_multiple and settings.overload_window)
         self._endpoints = endpoints
         self._latency_model = models.latency
         self._load_reports = models.load_reports
@@ -95,6 +96,8 @@
 
         Takes the tokens.  Where warm endpoints cannot take the rest, a last weight is added that is nobody's.
         """
+        if not self._has_overload_rule:
+            return weights
         total = sum(weights) or 1.0
         free = 1.0
         shares: dict[int, float] = {}
@@ -141,26 +144,27 @@
         """Return this instance's attempts in one overload window; an estimate stands for a while.
 
         It is infinite where the settings state no overload rule, so that there is no bound to share out, and
-        under earlier settings by which the endpoint is warm.
+        under earlier settings by which the endpoint is warm.  Neither is kept, as instances under earlier and
+        present settings share the record.
         """
+        settings = self._settings
+        if not self._has_overload_rule:
+            return math.inf
         if now < endpoint.send_allowance_expires_at:
             return endpoint.send_allowance
-        settings = self._settings
-        endpoint.send_allowance = math.inf
-        endpoint.send_allowance_expires_at = now + ESTIMATE_LIFETIME
         warm_fraction = endpoint.warm_fraction_at(now, settings)
-        if warm_fraction < 1 and settings.overload_window and settings.overload_multiple:
-            rates = self._load_reports.request_rates
-            capacity = max(
-                1 / self._request_time(now, endpoint), rates[endpoint.host_class].estimate(now, 0.0)
-            )
-            bearable = settings.overload_multiple * warm_fraction * SAFETY_FACTOR
-            budget = bearable * settings.overload_window * capacity
-            # random sends: this many standard deviations above their mean still fit the budget
-            root = math.sqrt(CHANCE_DEVIATIONS**2 + 4 * budget / SAFETY_FACTOR) - CHANCE_DEVIATIONS
-            share = self._traffic_share.estimate(now, self._endpoints.values(), rates)
-            endpoint.send_allowance = budget * share
-            endpoint.max_send_tokens = (root / 2) ** 2 * share
+        if warm_fraction >= 1:
+            return math.inf
+        rates = self._load_reports.request_rates
+        capacity = max(1 / self._request_time(now, endpoint), rates[endpoint.host_class].estimate(now, 0.0))
+        bearable = settings.overload_multiple * warm_fraction * SAFETY_FACTOR
+        budget = bearable * settings.overload_window * capacity
+        # random sends: this many standard deviations above their mean still fit the budget
+        root = math.sqrt(CHANCE_DEVIATIONS**2 + 4 * budget / SAFETY_FACTOR) - CHANCE_DEVIATIONS
+        share = self._traffic_share.estimate(now, self._endpoints.values(), rates)
+        endpoint.send_allowance = budget * share
+        endpoint.send_allowance_expires_at = now + ESTIMATE_LIFETIME
+        endpoint.max_send_tokens = (root / 2) ** 2 * share
         return endpoint.send_allowance
 
     def _request_time(self, now: int, endpoint: Endpoint) -> float:
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -183,3 +183,21 @@
             driver.end(request, endpoint, latency=MS)
             served += 1
     assert served
+
+
+def test_instances_under_settings_with_and_without_an_overload_rule_share_a_warming_endpoint() -> None:
+    """Guards against a division by 0 in the earlier one, and a bound that it lifts for the later one."""
+    entries = (EndpointEntry("warm"), EndpointEntry("new", started_at=995 * SECOND))
+    driver = Driver(entries=entries, overload_window=0, instance_count=3)
+    request, actions = driver.ask()
+    earlier = driver.balancer
+    driver.switch_settings(instance_count=3)
+    record = driver.balancer.endpoints["new"]
+    driver.ask()
+    assert 0.25 < record.send_allowance < 1
+    (attempted,) = sends(actions)
+    retried = sends(
+        earlier.handle(driver.now, AttemptEnded(request, 0, attempted, Outcome.CONNECT_FAILED, MS))
+    )
+    assert retried == ["new" if attempted == "warm" else "warm"]
+    assert 0.25 < record.send_allowance < 1
