Settings switch: the end of a streamed body reaches the instance that holds its request

What callers saw: after a SIGHUP in the middle of an upload, the request's time ran from its first byte, not from the end of its body: it was given up early, the earlier the larger the body.

Cause: control/settings_switch.py named four of the events about a request; RequestBodySent was not among them and went to the newest instance, which does not know the request.

Actions were looked through: they go to the host by request id and attempt, which are unique in the process.

Why it works: each kind of event has its route, asked of the holder by request id. The type checker (assert_never) and a test over all members of Event fail when a kind is added without one.

--- a/linetrack/control/settings_switch.py
+++ b/linetrack/control/settings_switch.py
@@ -7,12 +7,23 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, assert_never
 
 from linetrack.control import policy_snapshot
 from linetrack.policy.actions import Action
 from linetrack.policy.balancer import Balancer
-from linetrack.policy.events import AttemptEnded, ClientDisconnected, Event, ResponseStarted, TimerFired
+from linetrack.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    EndpointListUpdate,
+    Event,
+    HealthCheckEnded,
+    PeerMessageReceived,
+    RequestBodySent,
+    RequestReceived,
+    ResponseStarted,
+    TimerFired,
+)
 from linetrack.policy.protocols import Policy
 from linetrack.policy.settings import Settings
 
@@ -93,10 +104,14 @@
 def _request_id(event: Event) -> int | None:
     """Return the request that an event is about, if any; a timer names it in its token."""
     match event:
-        case AttemptEnded() | ResponseStarted() | ClientDisconnected():
+        case (
+            RequestReceived() | RequestBodySent() | ResponseStarted() | AttemptEnded() | ClientDisconnected()
+        ):
             return event.request_id
         case TimerFired(token):
             request_id = token.partition(":")[2]
             return int(request_id) if request_id.isdigit() else None
-        case _:
+        case EndpointListUpdate() | HealthCheckEnded() | PeerMessageReceived():
             return None
+        case _:
+            assert_never(event)
--- a/tests/control/test_settings_switch.py
+++ b/tests/control/test_settings_switch.py
@@ -2,16 +2,26 @@
 
 from __future__ import annotations
 
+from typing import get_args
+
+import pytest
+
 from linetrack.control.settings_switch import SettingsSwitch
 from linetrack.policy.actions import Action, RejectRequest
 from linetrack.policy.balancer import Balancer
 from linetrack.policy.events import (
     AttemptEnded,
+    ClientDisconnected,
     EndpointListUpdate,
     Event,
+    HealthCheckEnded,
     ListForm,
     Outcome,
+    PeerMessageReceived,
+    RequestBodySent,
     RequestReceived,
+    ResponseStarted,
+    TimerFired,
 )
 from tests.helpers import IDEMPOTENT, MS, SECOND, listed_entries, sends, settings
 
@@ -66,3 +76,46 @@
     assert switch.hand_over() == {}
     assert not switch.restore({}, NOW, same_classes=True, same_zones=True)
     assert switch.count_unavailable(NOW) == 0
+
+
+class RecordingBalancer(Balancer):
+    """A policy that keeps the events that reach it; its successors are ordinary ones."""
+
+    def __init__(self) -> None:
+        super().__init__(settings(), seed=1)
+        self.handled: list[Event] = []
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self.handled.append(event)
+        return super().handle(now, event)
+
+
+#: Of each kind of event one, about request 1 where it is about a request, and who decides about it.
+ROUTES: list[tuple[Event, bool]] = [
+    (RequestReceived(2, IDEMPOTENT, SECOND), False),
+    (RequestBodySent(1, 0), True),
+    (ResponseStarted(1, 0, "h0", MS), True),
+    (AttemptEnded(1, 0, "h0", Outcome.RESET, MS), True),
+    (ClientDisconnected(1), True),
+    (TimerFired("copy:1"), True),
+    (TimerFired("ask"), False),
+    (EndpointListUpdate(ListForm.DELTA), False),
+    (HealthCheckEnded("h0", Outcome.SUCCESS, MS), False),
+    (PeerMessageReceived(1, b""), False),
+]
+
+
+@pytest.mark.parametrize(("event", "goes_to_holder"), ROUTES, ids=str)
+def test_each_event_reaches_the_instance_that_holds_its_request(event: Event, goes_to_holder: bool) -> None:
+    """Guards against an event that moves a request's times in an instance that does not know it."""
+    switch = SettingsSwitch(holder := RecordingBalancer())
+    switch.handle(NOW, EndpointListUpdate(ListForm.CACHED, listed_entries()))
+    switch.handle(NOW, RequestReceived(1, IDEMPOTENT, 2 * SECOND, is_replayable=False))
+    switch.switch(settings(max_attempts=1))
+    holder.handled.clear()
+    switch.handle(NOW + MS, event)
+    assert holder.handled == ([event] if goes_to_holder else [])
+
+
+def test_no_kind_of_event_is_left_without_a_route() -> None:
+    assert {type(event) for event, _ in ROUTES} == set(get_args(Event))
