Overload control: a healthy service is given all within a minute, from any state

What callers saw: after an overload that began before a baseline rate was known, or at a traffic far below today's, most requests were rejected for ever although the service was healthy.

Cause: beyond what the fleet is known to take, the limit increased by a share of the baseline rate alone, which is 0 or far too small then.

Why it works: 20 s without a decrease say that the fleet can take more, whatever was usual, so the limit increases by 0.03 of itself an update: 240-fold within 19 s.

--- a/linetrack/control/overload_control.py
+++ b/linetrack/control/overload_control.py
@@ -43,6 +43,8 @@
 FAST_INCREASE_FACTOR = 1.15  # up to `fast_increase_limit`: twofold in half a second
 SLOW_INCREASE_SHARE = 0.005  # of the baseline rate, beyond that
 SLOW_INCREASE_SHARE_NEAR_BASELINE = 0.02  # while the limit is not far above the baseline rate, ...
+PROPORTIONAL_INCREASE_SHARE = 0.03  # of the limit itself, ...
+PROPORTIONAL_AFTER_US = 20 * SECOND  # ... once so long without a decrease: no baseline rate is needed then
 NEAR_BASELINE_FACTOR = 1.5  # ... that is up to so many times it, as the offered rate varies about it
 DECREASE_FACTOR = 0.6  # at once, and again only after responses to what was admitted since can have come
 FAST_INCREASE_LIMIT_FACTOR = 0.8  # of the limit at which responses became bad
@@ -302,7 +304,7 @@
         if response_rate < 1:
             return  # too few responses to tell
         if self._shows_capacity(fast_ratio, good_ratio):
-            self._increase_limit()
+            self._increase_limit(now)
         elif good_ratio < DECREASE_GOOD_RATIO and may_decrease:
             self._decrease_limit(now)
         elif fast_ratio < MIN_FAST_RATIO and self.rate_limit > self._baseline_rate and may_decrease:
@@ -316,11 +318,22 @@
         # a fleet in slow start responds slowly but in time, which is no sign of a queue
         return good_ratio >= INCREASE_GOOD_RATIO and self.rate_limit < self._fast_increase_limit
 
-    def _increase_limit(self) -> None:
+    def _increase_limit(self, now: int) -> None:
+        slow_limit = max(self.rate_limit, self._fast_increase_limit) + self._slow_increase(now)
+        self.rate_limit = min(self.rate_limit * FAST_INCREASE_FACTOR, slow_limit)
+
+    def _slow_increase(self, now: int) -> float:
+        """Return by how much the limit increases at an update beyond what the fleet is known to take.
+
+        It is a share of the baseline rate.  Where that is unknown, or of another time, the limit would stay
+        where it is, so after a while without a decrease it is a share of the limit at least.
+        """
         is_near_baseline = self.rate_limit < NEAR_BASELINE_FACTOR * self._baseline_rate
         share = SLOW_INCREASE_SHARE_NEAR_BASELINE if is_near_baseline else SLOW_INCREASE_SHARE
-        slow_limit = max(self.rate_limit, self._fast_increase_limit) + share * self._baseline_rate
-        self.rate_limit = min(self.rate_limit * FAST_INCREASE_FACTOR, slow_limit)
+        increase = share * self._baseline_rate
+        if now - self._last_decrease_at < PROPORTIONAL_AFTER_US:
+            return increase
+        return max(increase, PROPORTIONAL_INCREASE_SHARE * self.rate_limit)
 
     def _decrease_limit(self, now: int) -> None:
         """Decrease the limit after bad responses."""
--- a/tests/control/test_overload_control.py
+++ b/tests/control/test_overload_control.py
@@ -136,6 +136,37 @@
     assert controller.phase is OverloadPhase.NORMAL
 
 
+@pytest.mark.parametrize("offered", [1, 2, 3, 10, 40, 400])
+@pytest.mark.parametrize("usual", [0, 1, 40, 400], ids="usual rate {}".format)
+@pytest.mark.parametrize("outage", [2, 30], ids="{} s of outage".format)
+def test_a_service_that_is_healthy_again_is_given_all_within_a_minute_whatever_is_offered(
+    offered: int, usual: int, outage: int
+) -> None:
+    """Guards against a limit that has nothing to increase by: no baseline rate, or one of another time."""
+    controller = AdaptiveOverloadController(7)
+    now = START
+    for _ in range(30 * usual):
+        now += SECOND // usual
+        controller.admit(now, RequestReceived(1, 0, SECOND), 1.0)
+        controller.record_response(now, True, True)
+    rate = max(20, offered, usual)
+    for _ in range(outage * rate):
+        now += SECOND // rate
+        if controller.admit(now, RequestReceived(1, 0, SECOND), 1.0):
+            controller.record_response(now, False, False)
+    assert controller.rate_limit, "it engages"
+    rejected = 0
+    for second in range(70):
+        for _ in range(offered):
+            now += SECOND // offered
+            if is_admitted(controller, now, False):
+                controller.record_response(now, True, True)
+            else:
+                rejected += second >= 60
+    assert controller.phase is OverloadPhase.NORMAL
+    assert not rejected
+
+
 def serve_well_after(
     controller: AdaptiveOverloadController, calls: list[tuple[str, int, int]], now: int
 ) -> None:
