--- a/linetrack/control/overload_control.py
+++ b/linetrack/control/overload_control.py
@@ -21,6 +21,7 @@
 from random import Random
 from typing import NamedTuple
 
+from linetrack.control.baseline_rate import BaselineRate
 from linetrack.control.decaying_rate import DecayingRate
 from linetrack.control.retry_schedule import RetrySchedule
 from linetrack.policy.events import RequestReceived
@@ -56,10 +57,6 @@
 MIN_LIMIT_SHARE = 0.25  # of the baseline rate, however bad responses are: a recovery has to be noticed
 MIN_RATE_PER_SECOND = 2.0
 
-# The baseline rate of good responses.
-BASELINE_WINDOW_SECONDS = 20.0
-BASELINE_DELAY_SECONDS = 1.0  # from the start until a first rate is known
-
 # Admission within the limit.
 GROUP_SHARE_SLACK = 2.0  # times its share that a group may try for: the bucket bounds the sum of all groups
 MIN_GROUP_SHARE = 0.05  # of the limit goes to each group that asks, whatever comes before it
@@ -143,8 +140,7 @@
         self._offered_rate = DecayingRate()
         self._retry_rate = DecayingRate()
         self._consecutive_good = 0
-        self._baseline_rate = 0.0  # of good responses while not engaged
-        self._baseline_seconds = -BASELINE_DELAY_SECONDS  # for which the baseline rate was observed
+        self._baseline = BaselineRate()  # of good responses while not engaged
         # how the limit is controlled
         self._fast_increase_limit = 0.0
         self._last_update_at = 0
@@ -204,7 +200,7 @@
         """
         if self.phase is OverloadPhase.NORMAL:
             return min(maximum, int(default * (0.5 + self._random.random())))
-        returns_per_second = max(MIN_RATE_PER_SECOND, self._baseline_rate * RETURN_RATE_SHARE)
+        returns_per_second = max(MIN_RATE_PER_SECOND, self._baseline.per_second * RETURN_RATE_SHARE)
         return self.retry_schedule.schedule_return(now, default, maximum, returns_per_second)
 
     # --- Admission within the limit ------------------------------------------------------------------
@@ -281,7 +277,7 @@
             if response_rate >= MIN_RESPONSES_TO_ENGAGE and good_ratio <= 1 - ENGAGE_BAD_RATIO:
                 self._engage(now, good_rate)
             else:
-                self._update_baseline(elapsed, good_rate)
+                self._baseline.observe(elapsed, good_rate)
             return
         self._adjust_limit(now, response_rate, good_ratio)
         min_limit = self._min_limit()
@@ -290,13 +286,6 @@
         self._update_phase(now, good_rate, good_ratio)
         self._disengage_if_sufficient(now, offered_rate, good_ratio)
 
-    def _update_baseline(self, elapsed: int, good_rate: float) -> None:
-        seconds = min(1.0, elapsed / SECOND)
-        self._baseline_seconds = min(BASELINE_WINDOW_SECONDS, self._baseline_seconds + seconds)
-        if self._baseline_seconds > 0:
-            weight = min(1.0, seconds / self._baseline_seconds)
-            self._baseline_rate += (good_rate - self._baseline_rate) * weight
-
     def _adjust_limit(self, now: int, response_rate: float, good_ratio: float) -> None:
         """Increase or decrease the limit by the latest responses."""
         fast_ratio = self._fast_rate.per_second(now) / response_rate if response_rate > 0 else 1.0
@@ -307,7 +296,7 @@
             self._increase_limit(now)
         elif good_ratio < DECREASE_GOOD_RATIO and may_decrease:
             self._decrease_limit(now)
-        elif fast_ratio < MIN_FAST_RATIO and self.rate_limit > self._baseline_rate and may_decrease:
+        elif fast_ratio < MIN_FAST_RATIO and self.rate_limit > self._baseline.per_second and may_decrease:
             self._decrease_limit_gently(now)
 
     def _shows_capacity(self, fast_ratio: float, good_ratio: float) -> bool:
@@ -328,9 +317,9 @@
         It is a share of the baseline rate.  Where that is unknown, or of another time, the limit would stay
         where it is, so after a while without a decrease it is a share of the limit at least.
         """
-        is_near_baseline = self.rate_limit < NEAR_BASELINE_FACTOR * self._baseline_rate
+        is_near_baseline = self.rate_limit < NEAR_BASELINE_FACTOR * self._baseline.per_second
         share = SLOW_INCREASE_SHARE_NEAR_BASELINE if is_near_baseline else SLOW_INCREASE_SHARE
-        increase = share * self._baseline_rate
+        increase = share * self._baseline.per_second
         if now - self._last_decrease_at < PROPORTIONAL_AFTER_US:
             return increase
         return max(increase, PROPORTIONAL_INCREASE_SHARE * self.rate_limit)
@@ -357,7 +346,7 @@
 
     def _min_limit(self) -> float:
         """Return the requests a second that are admitted however bad the responses are."""
-        return max(MIN_RATE_PER_SECOND, MIN_LIMIT_SHARE * self._baseline_rate)
+        return max(MIN_RATE_PER_SECOND, MIN_LIMIT_SHARE * self._baseline.per_second)
 
     # --- The phases ----------------------------------------------------------------------------------
     def _engage(self, now: int, good_rate: float) -> None:
@@ -370,7 +359,7 @@
         self._rejected_count = 0
         self.rate_limit = max(good_rate, self._min_limit())
         self.tokens = 1.0
-        self._fast_increase_limit = max(self.rate_limit, self._baseline_rate)
+        self._fast_increase_limit = max(self.rate_limit, self._baseline.per_second)
         self._enter_phase(OverloadPhase.OVERLOADED, now)
 
     def _update_phase(self, now: int, good_rate: float, good_ratio: float) -> None:
@@ -397,7 +386,7 @@
         status = OverloadStatus(
             engaged_seconds=round((now - self._engaged_at) / SECOND, 1),
             rate_limit=round(self.rate_limit, 1),
-            baseline_rate=round(self._baseline_rate, 1),
+            baseline_rate=round(self._baseline.per_second, 1),
             offered_rate=round(offered_rate, 1),
             retry_ratio=round(retry_ratio, 2),
             admitted=self._admitted_count,
