One definition of the second: control and server take it from the policy's time units

No value and no decision changes; lint, types and the tests of control, slots, long responses and the listener pass.

--- a/linetrack/control/connection_demand.py
+++ b/linetrack/control/connection_demand.py
@@ -9,8 +9,8 @@
 import math
 
 from linetrack.control.decaying_rate import DecayingRate
+from linetrack.policy.time_units import SECOND
 
-SECOND = 1_000_000
 RECONNECT_DECAY_US = 2 * SECOND  # in which the expected return of a closed connection is forgotten to 1/e
 MIN_SLOT_PRICE = 1 / 60  # reconnects per second of a slot: a reconnect is worth a slot for a minute
 UNCONTENDED_SHARE = 0.5  # of the capacity, up to which a slot costs no more than the minimum
--- a/linetrack/control/connection_slots.py
+++ b/linetrack/control/connection_slots.py
@@ -23,8 +23,8 @@
 
 from linetrack.control.connection_demand import UNCONTENDED_SHARE, ConnectionDemand, slot_price
 from linetrack.control.idle_time_model import IDLE_BUCKET_ENDS_US, IdleTimeModel
+from linetrack.policy.time_units import SECOND
 
-SECOND = 1_000_000
 REQUEST_COUNT_BOUNDS = (2, 4, 8)  # requests from which on a connection counts with those that had more
 OLD_CONNECTION_US = 2 * SECOND  # age from which on a connection counts with the old ones
 SLOTS_PER_TRIAL = 16  # one slot in so many is for connections that are kept on trial
--- a/linetrack/control/decaying_rate.py
+++ b/linetrack/control/decaying_rate.py
@@ -7,7 +7,7 @@
 
 import math
 
-SECOND = 1_000_000
+from linetrack.policy.time_units import SECOND
 
 
 class DecayingRate:
--- a/linetrack/control/idle_time_model.py
+++ b/linetrack/control/idle_time_model.py
@@ -14,7 +14,8 @@
 from bisect import bisect_right
 from dataclasses import dataclass
 
-SECOND = 1_000_000
+from linetrack.policy.time_units import SECOND
+
 #: Ends of the buckets of idle time, in microseconds; a connection is kept to the end of one of them, or not
 #: at all.
 IDLE_BUCKET_ENDS_US = tuple(1000 * ms for ms in (10, 30, 100, 300, 1000, 2000, 4000, 8000, 16000, 30000))
--- a/linetrack/server/client_timeouts.py
+++ b/linetrack/server/client_timeouts.py
@@ -10,7 +10,7 @@
 
 from gevent import socket
 
-SECOND = 1_000_000
+from linetrack.policy.time_units import SECOND
 
 #: For a request to be complete (the first one's from connecting, a later one's from its first byte), and
 #: for a response to be taken.  A client that sends nothing must be closed within 3 s.
--- a/linetrack/server/hot_restart_successor.py
+++ b/linetrack/server/hot_restart_successor.py
@@ -24,6 +24,7 @@
     SuccessorStateMachine,
 )
 from linetrack.errors import LinetrackError
+from linetrack.policy.time_units import SECOND
 from linetrack.server.clock import clock
 from linetrack.server.hot_restart_channel import GrantedListener, HotRestartChannel, ReceivedMessage
 from linetrack.server.hot_restart_messages import (
@@ -40,7 +41,6 @@
 log = structlog.get_logger()
 
 TICK_SECONDS = 0.05
-SECOND_US = 1_000_000
 
 
 class PredecessorBusyError(LinetrackError, OSError):
@@ -140,7 +140,7 @@
 
     def _exchange_hello(self, sock: socket.socket, channel: HotRestartChannel) -> ReceivedMessage | None:
         """Return the predecessor's answer, or None where it ends the channel without one."""
-        seconds_left = max(0, self._state_machine.next_action_at - clock()) / SECOND_US
+        seconds_left = max(0, self._state_machine.next_action_at - clock()) / SECOND
         with gevent.Timeout(seconds_left, OSError("no answer")):
             sock.connect(str(self._path))
             if not channel.send(Hello(PROTOCOL_VERSION, self._identity, os.getpid())):
--- a/linetrack/server/lingering_close.py
+++ b/linetrack/server/lingering_close.py
@@ -4,6 +4,7 @@
 
 from gevent import socket
 
+from linetrack.policy.time_units import SECOND
 from linetrack.server import client_timeouts
 from linetrack.server.client_timeouts import DeadlineSocket
 from linetrack.server.clock import clock
@@ -28,7 +29,7 @@
         while discarded < max_discarded and (data := client.sock.recv(READ_SIZE)):
             discarded += len(data)
             if is_body_incomplete:
-                earned = discarded * client_timeouts.SECOND // client_timeouts.MIN_BODY_BYTES_PER_SECOND
+                earned = discarded * SECOND // client_timeouts.MIN_BODY_BYTES_PER_SECOND
                 client.deadline = min(clock(), began + earned) + client_timeouts.REQUEST_TIMEOUT_US
     except OSError:
         pass
--- a/linetrack/server/listener.py
+++ b/linetrack/server/listener.py
@@ -15,6 +15,7 @@
 from gevent import socket
 
 from linetrack.control.connection_slots import ConnectionSlot, ConnectionSlots, SlotState
+from linetrack.policy.time_units import SECOND
 from linetrack.server import client_timeouts
 from linetrack.server.budget import Budget
 from linetrack.server.client_connection import ClientConnection, ConnectionMigratedError
@@ -135,7 +136,7 @@
             gevent.sleep(SWEEP_INTERVAL_SECONDS)
             self.close_expired(clock())
             sweeps_since_forgetting += 1
-            elapsed = sweeps_since_forgetting * SWEEP_INTERVAL_SECONDS * client_timeouts.SECOND
+            elapsed = sweeps_since_forgetting * SWEEP_INTERVAL_SECONDS * SECOND
             if elapsed >= client_timeouts.REQUEST_TIMEOUT_US:
                 sweeps_since_forgetting = 0
                 self.validator.recent_ids.forget_older()
--- a/linetrack/server/response_writer.py
+++ b/linetrack/server/response_writer.py
@@ -8,9 +8,10 @@
 from gevent import socket
 
 from linetrack.policy.events import Outcome
+from linetrack.policy.time_units import SECOND
 from linetrack.server import client_timeouts
 from linetrack.server.active_request import FinalResponse
-from linetrack.server.client_timeouts import SECOND, DeadlineSocket
+from linetrack.server.client_timeouts import DeadlineSocket
 from linetrack.server.clock import NEVER, clock
 from linetrack.server.http1.encoding import LAST_CHUNK, encode_chunk
 from linetrack.server.http1.errors import MalformedMessageError
--- a/tests/control/test_connection_demand.py
+++ b/tests/control/test_connection_demand.py
@@ -1,6 +1,7 @@
 """The reserve of descriptors for connections to upstreams."""
 
-from linetrack.control.connection_demand import MIN_UPSTREAM_SHARE, SECOND, UpstreamReserve
+from linetrack.control.connection_demand import MIN_UPSTREAM_SHARE, UpstreamReserve
+from linetrack.policy.time_units import SECOND
 
 
 def test_the_peak_of_upstream_connections_is_reserved_and_given_back() -> None:
--- a/tests/control/test_connection_slots.py
+++ b/tests/control/test_connection_slots.py
@@ -14,11 +14,11 @@
     MAX_IDLE_US,
     MIN_IDLE_US,
     MIN_NEW_US,
-    SECOND,
     ConnectionSlot,
     ConnectionSlots,
     SlotState,
 )
+from linetrack.policy.time_units import SECOND
 
 MS = 1000
 EXPIRY_INTERVAL_US = 100 * MS
--- a/tests/control/test_idle_time_model.py
+++ b/tests/control/test_idle_time_model.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from linetrack.control.connection_slots import MAX_IDLE_US, MIN_IDLE_US
-from linetrack.control.idle_time_model import IDLE_BUCKET_ENDS_US, SECOND, IdleTimeModel
+from linetrack.control.idle_time_model import IDLE_BUCKET_ENDS_US, IdleTimeModel
+from linetrack.policy.time_units import SECOND
 
 MS = 1000
 
