--- a/linetrack/experiments/sidecar_process.py
+++ b/linetrack/experiments/sidecar_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import os
 import signal
 import socket
@@ -10,12 +11,20 @@
 import time
 from dataclasses import dataclass
 from pathlib import Path
+from random import Random
 
 READY_TIMEOUT_SECONDS = 20.0  # for a sidecar to respond
 EXIT_TIMEOUT_SECONDS = 12.0  # for one to end after a signal
 READY_POLL_SECONDS = 0.02
+MAX_PORT_TRIES = 1000
+#: A sidecar's port stays free while it is restarted: outgoing connections get those from 32768 on.
+PORTS_BEGIN = 12_000
+PORTS_END = 32_768
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
+#: Begins anywhere, so that two programs rarely meet; safe to advance from several threads.
+_port_numbers = itertools.count(Random().randrange(PORTS_END - PORTS_BEGIN))
+
 
 class RunError(Exception):
     """Something that a run needs did not come up; nothing is claimed of the program."""
@@ -107,7 +116,13 @@
 
 
 def free_port() -> int:
-    """A port on loopback that nobody uses at present."""
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port: int = probe.getsockname()[1]
-        return port
+    """A port on loopback that nobody uses at present, and that no outgoing connection will be given.
+
+    Raises:
+        RunError: there is none.
+    """
+    for _ in range(MAX_PORT_TRIES):
+        port = PORTS_BEGIN + next(_port_numbers) % (PORTS_END - PORTS_BEGIN)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise RunError("no port of loopback is free")
--- a/tests/experiments/test_soak.py
+++ b/tests/experiments/test_soak.py
@@ -19,6 +19,7 @@
     RequestSent,
 )
 from linetrack.experiments.audit import FACTS_FILE, Rule, RunFacts, audit
+from linetrack.experiments.sidecar_process import free_port
 from linetrack.experiments.soak.campaign import Campaign, replay_command
 from linetrack.experiments.soak.history import SidecarTrouble, draw_history
 from linetrack.experiments.soak.run import SoakVerdict
@@ -127,3 +128,11 @@
     assert done.stderr.count("\n") == 1
     assert said in done.stderr
     assert not (tmp_path / "out").exists()
+
+
+def test_ports_of_sidecars_are_none_that_outgoing_connections_are_given() -> None:
+    """Guards against a sidecar that cannot listen again as a connection has its port."""
+    first_outgoing = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    ports = [free_port() for _ in range(50)]
+    assert max(ports) < first_outgoing
+    assert len(set(ports)) == 50
