--- a/linetrack/experiments/schema.py
+++ b/linetrack/experiments/schema.py
@@ -63,6 +63,7 @@
     "pushed_over": "upstreams that crashed in slow start",
     "too_many": "requests with more attempts than allowed",
     "wrong": "responses that belong to another request",
+    "begun_late": "attempts that began over 0.1 s after their client had closed its connection",
     "crashed": "sidecars that ended on their own",
 }
 
--- a/tests/experiments/test_audit.py
+++ b/tests/experiments/test_audit.py
@@ -21,6 +21,7 @@
     UpstreamCrashed,
 )
 from linetrack.experiments.audit import FACTS_FILE, Findings, Rule, RunFacts, SidecarKill, audit
+from linetrack.experiments.schema import METRICS
 
 MS = 1000
 SECOND = 1_000_000
@@ -200,3 +201,7 @@
     findings = audit(tmp_path)
     assert findings.incomplete_files == ["load-0.jsonl"]
     assert findings.breaches[Rule.LOST] == 1
+
+
+def test_each_rule_is_a_metric_that_reports_can_name() -> None:
+    assert {rule.value for rule in Rule} <= METRICS.keys()
