--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -45,7 +45,7 @@
 def free_address() -> str:
     """Return a loopback address at which nothing listens, of a host that only this process uses."""
     pid = os.getpid()
-    host = f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{next(_hosts)}"
+    host = f"127.{1 + pid % 250}.{1 + pid // 250 % 250}.{1 + next(_hosts) % 250}"
     with socket.create_server((host, 0)) as probe:
         return "{}:{}".format(*probe.getsockname())
 
