Name the request ids in the records of the review's cases

Cause: a record showed which id an upstream ran, but not always which client had sent it; a quote in the claim of case 3 was shortened.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -512,11 +512,13 @@
         """Send a request and wait for its answer; return whether the connection was not closed on it."""
         try:
             client = client or Client(self.record, "", self._listen)
-            client.name = exchange.request_id[-4:]
-            exchange.sent_at = client.send(data, f"sends {exchange.path}, expires in {seconds:.3f} s")
+            client.name = exchange.request_id
+            exchange.sent_at = client.send(
+                data, f"sends id {exchange.request_id} {exchange.path}, expires in {seconds:.3f} s"
+            )
         except OSError as error:
             exchange.answer = f"not taken ({error.strerror})"
-            self.record.write(f"client {exchange.request_id[-4:]}: {exchange.answer}")
+            self.record.write(f"client {exchange.request_id}: {exchange.answer}")
             return False
         started_at = time.monotonic()
         exchange.answer = client.receive(seconds + 1.0)
