--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -580,20 +580,20 @@
 
 def main(folder: Path, case: Callable[[Record, Platform, bool], bool]) -> int:
     """Run a case, which returns whether the rule held; return the exit status."""
-    record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.write(f"start, with{'' if has_trouble else 'out'} the disruption")
-    signal.signal(signal.SIGTERM, _stop)
-    signal.signal(signal.SIGALRM, _stop)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _stop)
     signal.alarm(MAX_CASE_SECONDS)
     try:
+        record = Record(folder / "record.txt")
+        record.write(f"start, with{'' if has_trouble else 'out'} the disruption")
         with platform(record) as the_platform:
             held = case(record, the_platform, has_trouble)
+        verdict = "the rule held" if held else "the rule was broken"
+        record.write(verdict)
     except Exception as error:
-        record.write(f"the case could not run: {type(error).__name__}: {error}")
-        print(f"could not run: {error}")
+        # Python's own status after an exception is that of a broken rule.
+        print(f"could not run: {type(error).__name__}: {error}")
         return COULD_NOT_RUN
-    verdict = "the rule held" if held else "the rule was broken"
-    record.write(verdict)
     print(verdict)
     return HELD if held else BROKEN
