--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -11,6 +11,7 @@
 import itertools
 import json
 import os
+import queue
 import shutil
 import signal
 import socket
@@ -374,6 +375,50 @@
             self.condition.notify_all()
 
 
+class Link(Server):
+    """The way to a server elsewhere: everything arrives `delay` seconds later, in both directions."""
+
+    def __init__(self, target: str, delay: float) -> None:
+        self.target = parse_address(target)
+        self.delay = delay
+        super().__init__()
+
+    def serve(self, wire: Wire) -> None:
+        """Forward one connection until either side closes it."""
+        with socket.create_connection(self.target) as far:
+            far.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            forth = threading.Thread(target=self._forward, args=(wire.sock, far), daemon=True)
+            forth.start()
+            self._forward(far, wire.sock)
+            forth.join()
+
+    def _forward(self, source: socket.socket, target: socket.socket) -> None:
+        """Read at once and write later, in another thread, so that no byte waits for earlier ones."""
+        items: queue.Queue[tuple[float, bytes]] = queue.Queue()
+        writer = threading.Thread(target=self._write, args=(items, target), daemon=True)
+        writer.start()
+        data = b"-"
+        while data:
+            try:
+                data = source.recv(READ_SIZE)
+            except OSError:
+                data = b""
+            items.put((time.monotonic() + self.delay, data))
+        writer.join()
+
+    def _write(self, items: queue.Queue[tuple[float, bytes]], target: socket.socket) -> None:
+        while True:
+            due_at, data = items.get()
+            time.sleep(max(0.0, due_at - time.monotonic()))
+            try:
+                if not data:
+                    target.shutdown(socket.SHUT_WR)
+                    return
+                target.sendall(data)
+            except OSError:
+                return
+
+
 # --- The platform ------------------------------------------------------------------------------------------
 def small_deployment(classes: list[dict[str, Any]] | None = None) -> dict[str, Any]:
     """Return the settings that the wire page shows as its example, of a deployment with two sidecars."""
