--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,7 +33,7 @@
 SIDECARS = 6
 REQUESTS_PER_SECOND = 25  # of each sidecar
 WARM_UP_SECONDS = 6.0  # before SIGHUP
-AFTER_SECONDS = 4.0  # after SIGHUP
+AFTER_SECONDS = 16.0  # after SIGHUP
 SLOW_CLASS = "table-view"
 DROPPED_CLASS = "table-list"
 SLOW_SHARE = 0.95
@@ -159,7 +159,7 @@
     def use(self, sidecar: Sidecar) -> None:
         """Be the application beside a sidecar, until the end of the case or of the process."""
         threads = []
-        while self.elapsed() < WARM_UP_SECONDS + AFTER_SECONDS and sidecar.exit_status() is None:
+        while self.elapsed() < WARM_UP_SECONDS + AFTER_SECONDS and not self.ended():
             # clients stop to name the class a while before it is dropped
             is_dropped = self.elapsed() > WARM_UP_SECONDS - 1.0
             name = self.random.choices(self.names, [0 if is_dropped else 1, 3, 2, 5])[0]
@@ -169,6 +169,10 @@
         for thread in threads:
             thread.join()
 
+    def ended(self) -> list[Sidecar]:
+        """Return the sidecars whose process has ended."""
+        return [sidecar for sidecar in self.sidecars if sidecar.exit_status() is not None]
+
     def reload(self) -> None:
         """Replace the configuration of every sidecar by one without the dropped class."""
         for number, sidecar in enumerate(self.sidecars):
@@ -193,8 +197,7 @@
         user.join()
     return [
         f"{sidecar.name} ended within {AFTER_SECONDS} s of SIGHUP, with status {sidecar.exit_status()}"
-        for sidecar in this.sidecars
-        if sidecar.exit_status() is not None
+        for sidecar in this.ended()
     ]
 
 
