--- a/review/7/case.py
+++ b/review/7/case.py
@@ -16,8 +16,6 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from stand_ins_2 import (
-    MS,
-    SECOND,
     Case,
     Discovery,
     Link,
@@ -27,6 +25,7 @@
     Wire,
     encode_request,
     encode_response,
+    liga_glowna,
     run_case,
 )
 
@@ -38,54 +37,6 @@
 REQUESTS_PER_SECOND = 120  # of all clients
 LENGTH_SECONDS = 15.0
 DEADLINE = 1.0  # of the class, in seconds
-ZONES = ["warszawa", "poznan", "krakow"]
-
-
-def settings() -> dict[str, object]:
-    """Return settings with the figures of the site."""
-    return {
-        "classes": [
-            {
-                "name": "sklad-odczyt",
-                "repeat": "free",
-                "aimUs": 500 * MS,
-                "deadlineUs": int(DEADLINE * SECOND),
-                "worth": 5.0,
-                "lateWorth": 0.25,
-                "stream": False,
-            }
-        ],
-        "azs": ZONES,
-        "skus": ["duzy", "maly"],
-        "zone": 0,
-        "me": 0,
-        "balancers": 4,
-        "registryMode": "subscribe",
-        "weights": "rough",
-        "worthBy": "work",
-        "rules": {
-            "answerSlackUs": 20 * MS,
-            "askEveryUs": 10 * SECOND,
-            "coldFrom": 0.3,
-            "drainGraceUs": 300 * MS,
-            "fallMultiple": 4.0,
-            "overloadForUs": 1500 * MS,
-            "warmUpUs": 7500 * MS,
-        },
-        "stats": {"how": "inline", "fields": ["depth", "concurrent"]},
-        "allowed": {
-            "dialTimeoutUs": 120 * MS,
-            "keepaliveUs": 30 * SECOND,
-            "maxAttempts": 5,
-            "maxRetryAfterUs": 1500 * MS,
-            "mayCancel": True,
-            "mayProbe": False,
-            "multiplex": 1,
-            "parallelTries": True,
-            "retryAfter": True,
-        },
-        "deductions": {"crossZone": 0.03, "waste": 0.04, "lateFail": 0.044},
-    }
 
 
 class CopyingUpstream(Upstream):
@@ -121,13 +72,13 @@
         self.numbers = itertools.count(1)
         self.breaks: list[str] = []
         entries = []
-        for index, zone in enumerate(ZONES[1:]):
+        for index, zone in enumerate(("poznan", "krakow")):
             upstream = case.add(CopyingUpstream(self.record, f"s-{index}", lambda *_: None, zone))
             upstream.has_trouble = case.has_trouble
             link = case.add(Link(upstream.address, ONE_WAY_SECONDS))
             entries.append({**upstream.entry(), "addr": link.address, "kind": "duzy", "cell": index})
         discovery = case.add(Discovery(self.record, entries))
-        self.sidecar: Sidecar = case.sidecar(discovery, settings()).start()
+        self.sidecar: Sidecar = case.sidecar(discovery, liga_glowna()).start()
         self.ends_at = self.record.now() + LENGTH_SECONDS
 
     def use(self) -> None:
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -462,6 +462,53 @@
     }
 
 
+def liga_glowna() -> dict[str, Any]:
+    """Return settings with the figures of the site liga-glowna, and its class that is safe to repeat."""
+    return {
+        "classes": [
+            {
+                "name": "sklad-odczyt",
+                "repeat": "free",
+                "aimUs": 500 * MS,
+                "deadlineUs": 1 * SECOND,
+                "worth": 5.0,
+                "lateWorth": 0.25,
+                "stream": False,
+            }
+        ],
+        "azs": ["warszawa", "poznan", "krakow"],
+        "skus": ["duzy", "maly"],
+        "zone": 0,
+        "me": 0,
+        "balancers": 4,
+        "registryMode": "subscribe",
+        "weights": "rough",
+        "worthBy": "work",
+        "rules": {
+            "answerSlackUs": 20 * MS,
+            "askEveryUs": 10 * SECOND,
+            "coldFrom": 0.3,
+            "drainGraceUs": 300 * MS,
+            "fallMultiple": 4.0,
+            "overloadForUs": 1500 * MS,
+            "warmUpUs": 7500 * MS,
+        },
+        "stats": {"how": "inline", "fields": ["depth", "concurrent"]},
+        "allowed": {
+            "dialTimeoutUs": 120 * MS,
+            "keepaliveUs": 30 * SECOND,
+            "maxAttempts": 5,
+            "maxRetryAfterUs": 1500 * MS,
+            "mayCancel": True,
+            "mayProbe": False,
+            "multiplex": 1,
+            "parallelTries": True,
+            "retryAfter": True,
+        },
+        "deductions": {"crossZone": 0.03, "waste": 0.04, "lateFail": 0.044},
+    }
+
+
 def consulta_precio() -> dict[str, Any]:
     """Return the class of the example that is safe to repeat."""
     return {
