--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,13 +1,12 @@
-"""A new configuration drops a class while the requests of another class are slow at every upstream.
+"""Hundreds of clients stop in the middle of a request and stay, and come again when they are turned away.
 
-Without the disruption, the slow class stays and the configuration does not change.
+Without the disruption, there are no such clients.
 """
 
 from __future__ import annotations
 
 import itertools
 import random
-import signal
 import sys
 import threading
 import time
@@ -29,176 +28,163 @@
     run_case,
 )
 
+BAD_CLIENTS = 400
+BURSTS = 14
+MEMORY_MB = 96  # the pages: 32 to 192 MB
+CLIENTS = 20
+REQUESTS_PER_SECOND = 40  # of all usual clients
+DEADLINE = 3.0
+BODY = b"s" * 20_000
+PROMISED_BYTES = 60_000  # of which a bad client sends
+SENT_BYTES = 16_000
+WORK_SECONDS = 0.05
 UPSTREAMS = 12
-SIDECARS = 6
-REQUESTS_PER_SECOND = 25  # of each sidecar
-WARM_UP_SECONDS = 6.0  # before SIGHUP
-AFTER_SECONDS = 16.0  # after SIGHUP
-SLOW_CLASS = "table-view"
-DROPPED_CLASS = "table-list"
-SLOW_SHARE = 0.95
-SLOW_FROM_SECONDS = 5.5  # from here on the requests of the slow class wait
-AIMS = {"table-list": 1.2, "dice-roll": 0.6, "move": 0.4, "table-view": 1.2}
-DEADLINES = {"table-list": 3.0, "dice-roll": 2.0, "move": 0.8, "table-view": 3.0}
-WORK = {"table-list": 0.1, "dice-roll": 0.06, "move": 0.035, "table-view": 0.12}
-REPEAT = {"table-list": "free", "dice-roll": "single_shot", "move": "guarded", "table-view": "free"}
-
-
-def classes(names: list[str]) -> list[dict[str, object]]:
-    """Return the settings of these classes."""
-    return [
-        {
-            "name": name,
-            "repeat": REPEAT[name],
-            "aimUs": int(AIMS[name] * SECOND),
-            "deadlineUs": int(DEADLINES[name] * SECOND),
-            "dedupScope": "all",
-            "dedupWindowUs": 1500 * MS,
-            "worth": 1.0,
-            "lateWorth": 0.0,
-            "stream": False,
-        }
-        for name in names
-    ]
-
-
-def settings(names: list[str], number: int) -> dict[str, object]:
-    """Return settings with these classes and otherwise with the figures of the brief for tables-iceland."""
+HALLS = ["hala-a", "hala-b", "hala-c"]
+
+
+def settings() -> dict[str, object]:
+    """Return settings with the figures of the brief for brno-tarify."""
     return {
-        "classes": classes(names),
-        "azs": ["reykjavik", "akureyri"],
-        "skus": ["std-4", "slow-4"],
+        "classes": [
+            {
+                "name": "prepnuti-tarifu",
+                "repeat": "guarded",
+                "dedupScope": "all",
+                "dedupWindowUs": 3 * SECOND,
+                "aimUs": 600 * MS,
+                "deadlineUs": 3 * SECOND,
+                "worth": 1.0,
+                "lateWorth": 0.2,
+                "stream": False,
+            }
+        ],
+        "azs": HALLS,
+        "skus": ["rychly", "stredni", "pomaly"],
         "zone": 0,
-        "me": number,
-        "balancers": 54,
-        "registryMode": "automatic",
+        "me": 0,
+        "balancers": 43,
+        "registryMode": "subscribe",
         "weights": "off",
-        "worthBy": "request",
+        "worthBy": "work",
         "rules": {
             "answerSlackUs": 20 * MS,
-            "askEveryUs": 0,
-            "coldFrom": 0.3,
-            "drainGraceUs": 250 * MS,
-            "fallMultiple": 3.0,
-            "overloadForUs": 3 * SECOND,
-            "warmUpUs": 8700 * MS,
+            "askEveryUs": 5 * SECOND,
+            "coldFrom": 0.13,
+            "drainGraceUs": 1 * SECOND,
+            "fallMultiple": 2.0,
+            "overloadForUs": 1500 * MS,
+            "warmUpUs": 17 * SECOND,
+            "freeResends": 2,
+            "furtherRatio": 0.1,
+            "extraWindowUs": 2 * SECOND,
+            "goneIsAdvice": True,
         },
-        "stats": {"how": "inline", "fields": ["depth", "concurrent"]},
+        "stats": {"how": "inline", "fields": ["load_share", "tps", "err_ps"]},
         "allowed": {
             "dialTimeoutUs": 250 * MS,
             "keepaliveUs": 30 * SECOND,
-            "maxAttempts": 6,
+            "maxAttempts": 4,
             "maxRetryAfterUs": 1 * SECOND,
             "mayCancel": True,
             "mayProbe": True,
             "multiplex": 1,
-            "parallelTries": True,
+            "parallelTries": False,
             "retryAfter": True,
         },
     }
 
 
 class Play:
-    """The applications, the upstreams and the sidecars of this case."""
+    """The usual and the bad clients, the upstreams and the sidecar of this case."""
 
     def __init__(self, case: Case) -> None:
-        """Start the servers and the sidecars."""
-        self.case = case
+        """Start the servers and the sidecar."""
         self.record = case.record
-        self.random = random.Random()
         self.numbers = itertools.count(1)
-        self.is_slow = threading.Event()
-        self.names = [DROPPED_CLASS, "dice-roll", "move", SLOW_CLASS]
+        self.is_over = threading.Event()
+        self.burst = threading.Barrier(BAD_CLIENTS)
+        self.lost: list[str] = []
         upstreams = [
-            case.add(
-                Upstream(self.record, f"s-{index:02}", self.answer, ("reykjavik", "akureyri")[index % 2])
-            )
+            case.add(Upstream(self.record, f"s-{index:02}", self.answer, HALLS[index % 3]))
             for index in range(UPSTREAMS)
         ]
         discovery = case.add(Discovery(self.record, [upstream.entry() for upstream in upstreams]))
-        self.sidecars = [
-            case.sidecar(discovery, settings(self.names, number), name=f"n{number}")
-            for number in range(SIDECARS)
-        ]
-        for sidecar in self.sidecars:
-            sidecar.start()
-        self.started_at = self.record.now()
-
-    def elapsed(self) -> float:
-        """Return the seconds since the sidecars were ready."""
-        return self.record.now() - self.started_at
+        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
+        self.sidecar: Sidecar = case.sidecar(discovery, settings(), limits=limits).start()
 
     def answer(self, request: Message, _wire: Wire) -> bytes:
         """Serve a request as an upstream."""
-        name = request.target.split("/")[1]
-        time.sleep(WORK[name])
-        if name == SLOW_CLASS and self.is_slow.is_set() and self.random.random() < SLOW_SHARE:
-            time.sleep(self.random.uniform(1.2, 2.5) * AIMS[name])
-        report = "Endpoint-Load-Metrics: TEXT queue=0, inflight=1"
-        return encode_response(f"{name} {request.trace_id}".encode(), 200, report)
-
-    def ask(self, sidecar: Sidecar, number: int, name: str) -> None:
-        """Send one request and wait for its answer."""
+        time.sleep(WORK_SECONDS)
+        return encode_response(f"answer to {request.trace_id}".encode())
+
+    def head(self, length: int) -> tuple[str, bytes]:
+        """Return the identifier and the head of a new request."""
+        number = next(self.numbers)
         trace_id = f"{number:016x}"
-        headers = [f"Idempotency-Key: {number:032x}"] if REPEAT[name] == "guarded" else []
-        method = "GET" if REPEAT[name] == "free" else "POST"
-        length = None if method == "GET" else 0
-        path = f"/{name}/k{number % 50}"
-        head = encode_request(path, trace_id, DEADLINES[name], *headers, method=method, length=length)
-        try:
-            with sidecar.connect(DEADLINES[name] + 1.0) as client:
-                self.record.line(sidecar.name, f"is sent {name} {trace_id}")
-                client.sock.sendall(head)
-                response = client.wire.read()
-        except OSError as error:
-            self.record.line(sidecar.name, f"{name} {trace_id}: {error!r}")
-            return
-        result = "closed without an answer" if response is None else f"status {response.status}"
-        self.record.line(sidecar.name, f"answers {name} {trace_id}: {result}")
-
-    def use(self, sidecar: Sidecar) -> None:
-        """Be the application beside a sidecar, until the end of the case or of the process."""
-        threads = []
-        while self.elapsed() < WARM_UP_SECONDS + AFTER_SECONDS and not self.ended():
-            # clients stop to name the class a while before it is dropped
-            is_dropped = self.elapsed() > WARM_UP_SECONDS - 1.0
-            name = self.random.choices(self.names, [0 if is_dropped else 1, 3, 2, 5])[0]
-            threads.append(threading.Thread(target=self.ask, args=(sidecar, next(self.numbers), name)))
-            threads[-1].start()
-            time.sleep(1 / REQUESTS_PER_SECOND)
-        for thread in threads:
-            thread.join()
-
-    def ended(self) -> list[Sidecar]:
-        """Return the sidecars whose process has ended."""
-        return [sidecar for sidecar in self.sidecars if sidecar.exit_status() is not None]
-
-    def reload(self) -> None:
-        """Replace the configuration of every sidecar by one without the dropped class."""
-        for number, sidecar in enumerate(self.sidecars):
-            sidecar.config["settings"] = settings(self.names[1:], number)
-            sidecar.write_config()
-            sidecar.signal(signal.SIGHUP)
+        key = f"Idempotency-Key: {number:032x}"
+        path = f"/prepnuti-tarifu/{number % 500}"
+        return trace_id, encode_request(path, trace_id, DEADLINE, key, method="POST", length=length)
+
+    def ends(self) -> bool:
+        """Return whether the case or the process has ended."""
+        return self.is_over.is_set() or self.sidecar.exit_status() is not None
+
+    def be_usual(self) -> None:
+        """Send whole requests, each on a new connection, at random times."""
+        while not self.ends():
+            time.sleep(random.expovariate(REQUESTS_PER_SECOND / CLIENTS))
+            trace_id, head = self.head(len(BODY))
+            sent_at = 0.0
+            try:
+                with self.sidecar.connect(DEADLINE) as client:
+                    client.sock.sendall(head + BODY)
+                    sent_at = self.record.line("client", f"{trace_id} written whole")
+                    data = client.sock.recv(4096)
+            except OSError as error:
+                self.record.line("client", f"{trace_id}: {error!r}")
+                continue
+            took = self.record.now() - sent_at
+            if data:
+                self.record.line("client", f"{trace_id}: {data[:12].decode()} after {took:.3f} s")
+            else:
+                # an end without a reset: the sidecar has read the whole request
+                self.record.line("client", f"{trace_id}: closed without an answer after {took:.3f} s")
+                self.lost.append(f"{trace_id} was read and its connection closed without an answer")
+
+    def be_bad(self) -> None:
+        """Send half a request, stay, and come again when turned away, together with all others."""
+        for _ in range(BURSTS):
+            self.burst.wait()
+            try:
+                with self.sidecar.connect(4.0) as client:
+                    client.sock.sendall(self.head(PROMISED_BYTES)[1] + b"b" * SENT_BYTES)
+                    client.sock.recv(4096)
+            except OSError:
+                if self.ends():
+                    self.burst.abort()
 
 
 def play(case: Case) -> list[str]:
-    """Send requests of all classes; halfway, drop one class from the configuration."""
+    """Let usual clients ask, and bursts of bad clients come."""
     this = Play(case)
-    users = [threading.Thread(target=this.use, args=(sidecar,)) for sidecar in this.sidecars]
-    for user in users:
-        user.start()
-    time.sleep(SLOW_FROM_SECONDS)
-    case.record.line("upstreams", f"from here on, most requests of {SLOW_CLASS} wait")
-    this.is_slow.set()
-    time.sleep(WARM_UP_SECONDS - SLOW_FROM_SECONDS)
+    usual = [threading.Thread(target=this.be_usual) for _ in range(CLIENTS)]
+    for client in usual:
+        client.start()
+    time.sleep(2.0)
     if case.has_trouble:
-        this.reload()
-    for user in users:
-        user.join()
-    return [
-        f"{sidecar.name} ended within {AFTER_SECONDS} s of SIGHUP, with status {sidecar.exit_status()}"
-        for sidecar in this.ended()
-    ]
+        bad = [threading.Thread(target=this.be_bad) for _ in range(BAD_CLIENTS)]
+        for client in bad:
+            client.start()
+        for client in bad:
+            client.join()
+    else:
+        time.sleep(2.5 * BURSTS)
+    this.is_over.set()
+    for client in usual:
+        client.join()
+    status = this.sidecar.exit_status()
+    ended = [f"the process ended with status {status}"] if status is not None else []
+    return ended + this.lost
 
 
 if __name__ == "__main__":
