--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,12 +1,14 @@
-"""An upstream applies a long sale, its answer is spoilt, and the repeat goes to one that reads slowly.
+"""An upstream stops to read in the middle of a long request, and stays silent.
 
-Without the disruption, no answer is spoilt.
+Without the disruption, the upstream reads on.
 """
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import random
+import socket
 import sys
 import threading
 import time
@@ -17,6 +19,7 @@
 from stand_ins_2 import (
     READ_SIZE,
     SLACK,
+    CannotRunError,
     Case,
     Discovery,
     Message,
@@ -30,92 +33,66 @@
     small_deployment,
 )
 
-BODY_BYTES = 12 * 1024 * 1024
+MEMORY_MB = 64  # the pages: 32 to 192 MB
+SLOW_UPLOADS = 4  # by clients that send at 64 kB a second, as the pages allow
+SLOW_UPLOAD_BYTES = 4 * 1024 * 1024
+SLOW_PIECE_BYTES = 6_400
 LONG_BODY_BYTES = 64 * 1024
-READ_SECONDS = 1.15  # in which the slow upstreams read a long body
-WINDOW_SECONDS = 1.0  # for which the upstreams of a zone remember a key
+UPSTREAMS = 4  # one of them hangs
+HANG_SECONDS = 20.0
+MIN_BODY_BYTES = 5 * 1024 * 1024
+MAX_BODY_BYTES = 32 * 1024 * 1024
+PATIENCE_SECONDS = 10.0  # for which a client waits for an answer, far beyond its time
+LOST_AFTER_SECONDS = 0.5  # past its time, an answer no longer counts
 LOOKUP_DEADLINE = 2.0
 SALE_DEADLINE = 1.5
-CLIENTS = 2
-SALES = 20  # of each client
-LOOKUPS_BETWEEN_SALES = 8
-LOOKUPS_PER_SECOND = 12  # of each client
-UPSTREAMS = 6  # every second one reads slowly
-SPOILT_SHARE = 0.5  # of the answers to sales, from any upstream alike
-SPOILT_ANSWER = b"\x00\xff noise \r\n\r\n"
+LOOKUPS = 20
+SALES = 16
+SALES_PER_SECOND = 4
 ZONE = "leon"
 
 
-class Sales:
-    """The sales that the upstreams of the zone have applied, and their common memory of keys."""
-
-    def __init__(self, record: Record) -> None:
-        """Remember nothing yet."""
-        self.record = record
-        self.arrivals: dict[str, list[tuple[float, str]]] = {}
-        self._remembered: dict[str, float] = {}
-        self._lock = threading.Lock()
-
-    def apply(self, key: str, upstream: str) -> None:
-        """Apply a sale whose last byte has come, unless it is a repeat of a key that is remembered."""
-        with self._lock:
-            now = self.record.now()
-            self.arrivals.setdefault(key, []).append((now, upstream))
-            if now - self._remembered.get(key, -WINDOW_SECONDS - 1) <= WINDOW_SECONDS:
-                self.record.line(upstream, f"repeat of sale {key} dropped")
-                return
-            self._remembered[key] = now
-            self.record.line(upstream, f"sale {key} applied")
-
-    def breaks(self) -> list[str]:
-        """Return the sales that were sent again after their window, with the slack of the sockets."""
-        found = []
-        for key, arrivals in self.arrivals.items():
-            first_at, first = arrivals[0]
-            for at, upstream in arrivals[1:]:
-                if at - first_at > WINDOW_SECONDS + SLACK:
-                    after = at - first_at
-                    found.append(f"sale {key}: whole at {first}, and {after:.3f} s later whole at {upstream}")
-        return found
+def capacity(case: Case) -> int:
+    """Return how many bytes the system takes from a sender on loopback whose receiver reads nothing."""
+    server = socket.create_server(("127.0.0.1", 0))
+    with server, socket.create_connection(server.getsockname()) as sender:
+        receiver, _ = server.accept()
+        with receiver:
+            sender.settimeout(0.3)
+            taken = 0
+            try:
+                while taken < 64 * 1024 * 1024:
+                    taken += sender.send(b"x" * READ_SIZE)
+            except TimeoutError:
+                pass
+    case.record.line("case", f"a silent receiver takes {taken} bytes")
+    return taken
 
 
 class PriceServer(Upstream):
-    """An upstream, which may read slowly and spoil some answers to sales."""
+    """An upstream that may hang in the middle of its work: it reads and answers nothing for a while."""
 
-    def __init__(
-        self, record: Record, name: str, sales: Sales, reads_slowly: bool, spoils_answers: bool
-    ) -> None:
+    def __init__(self, record: Record, name: str) -> None:
         """Begin to listen."""
-        self.sales = sales
-        self.reads_slowly = reads_slowly
-        self.spoils_answers = spoils_answers
+        self.hangs_until = 0.0
         super().__init__(record, name, self.respond, ZONE, receive_buffer=READ_SIZE)
 
+    def wait(self, trace_id: str) -> None:
+        """Wait until the upstream no longer hangs."""
+        seconds = self.hangs_until - self.record.now()
+        if seconds > 0:
+            self.record.line(self.name, f"hangs within {trace_id}")
+            self.is_closing.wait(seconds)
+
     def read_body(self, wire: Wire, head: Message) -> Message:
-        """Read a body, a long one at an even pace if this upstream reads slowly."""
-        length = int(head.headers.get("content-length", "0"))
-        if not self.reads_slowly or length <= LONG_BODY_BYTES:
-            return super().read_body(wire, head)
-        started_at = time.monotonic()
-        got = len(wire.buffer)
-        wire.buffer = b""
-        while got < length:
-            data = wire.sock.recv(min(READ_SIZE, length - got))
-            if not data:
-                head.is_whole = False
-                break
-            got += len(data)
-            time.sleep(max(0.0, started_at + READ_SECONDS * got / length - time.monotonic()))
-        return head
+        """Read a body."""
+        self.wait(head.trace_id)
+        return super().read_body(wire, head)
 
     def respond(self, request: Message, _wire: Wire) -> bytes:
-        """Answer a look-up, or apply a sale and answer."""
-        time.sleep(0.005)
-        if request.method == "POST":
-            self.sales.apply(request.headers["idempotency-key"], self.name)
-            if self.spoils_answers and random.random() < SPOILT_SHARE:
-                self.record.line(self.name, f"answers {request.trace_id} with noise")
-                return SPOILT_ANSWER
+        """Answer a request."""
+        time.sleep(0.01)
+        self.wait(request.trace_id)
         return encode_response(f"answer to {request.trace_id}".encode())
 
 
@@ -125,70 +102,95 @@
     def __init__(self, case: Case) -> None:
         """Start the servers and the sidecar."""
         self.record = case.record
-        self.sales = Sales(case.record)
         self.numbers = itertools.count(1)
-        upstreams = []
-        for index in range(UPSTREAMS):
-            reads_slowly = bool(index % 2)
-            name = f"s-{index}-slow" if reads_slowly else f"s-{index}-quick"
-            server = PriceServer(case.record, name, self.sales, reads_slowly, case.has_trouble)
-            upstreams.append(case.add(server))
-        discovery = case.add(Discovery(case.record, [upstream.entry() for upstream in upstreams]))
-        self.sidecar: Sidecar = case.sidecar(discovery, small_deployment()).start()
+        self.breaks: list[str] = []
+        self.unwritten = 0
+        self.is_over = threading.Event()
+        self.body = b"s" * min(MAX_BODY_BYTES, max(MIN_BODY_BYTES, int(1.5 * capacity(case))))
+        self.upstreams = [case.add(PriceServer(case.record, f"s-{index}")) for index in range(UPSTREAMS)]
+        discovery = case.add(Discovery(case.record, [upstream.entry() for upstream in self.upstreams]))
+        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256}
+        self.sidecar: Sidecar = case.sidecar(discovery, small_deployment(), limits=limits).start()
 
     def look_up(self) -> None:
         """Ask for a price."""
         trace_id = f"{next(self.numbers):016x}"
         with self.sidecar.connect(LOOKUP_DEADLINE + 1.0) as client:
-            client.sock.sendall(
-                encode_request(f"/consulta-precio/{random.randrange(300)}", trace_id, LOOKUP_DEADLINE)
-            )
-            self.note(trace_id, client.wire.read())
+            path = f"/consulta-precio/{random.randrange(300)}"
+            client.sock.sendall(encode_request(path, trace_id, LOOKUP_DEADLINE))
+            response = client.wire.read()
+        result = "closed without an answer" if response is None else f"status {response.status}"
+        self.record.line("client", f"{trace_id}: {result}")
 
-    def sell(self) -> None:
-        """Record a sale with a long body."""
+    def sale_head(self, length: int) -> tuple[str, bytes]:
+        """Return the identifier and the head of a new sale."""
         number = next(self.numbers)
         trace_id = f"{number:016x}"
-        key = f"{number:032x}"
-        head = encode_request(
-            f"/registro-venta/{number}",
-            trace_id,
-            SALE_DEADLINE,
-            f"Idempotency-Key: {key}",
-            method="POST",
-            length=BODY_BYTES,
-        )
-        with self.sidecar.connect(SALE_DEADLINE + 3.0) as client:
+        key = f"Idempotency-Key: {number:032x}"
+        path = f"/registro-venta/{number}"
+        return trace_id, encode_request(path, trace_id, SALE_DEADLINE, key, method="POST", length=length)
+
+    def upload_slowly(self) -> None:
+        """Begin a sale whose body takes longer than the case, at the slowest pace that the pages allow."""
+        trace_id, head = self.sale_head(SLOW_UPLOAD_BYTES)
+        self.record.line("slow client", f"begins sale {trace_id} of {SLOW_UPLOAD_BYTES} bytes")
+        with self.sidecar.connect(PATIENCE_SECONDS) as client, contextlib.suppress(OSError):
             client.sock.sendall(head)
-            client.sock.sendall(b"s" * BODY_BYTES)
-            self.record.line("client", f"sale {key} sent whole")
-            self.note(trace_id, client.wire.read())
-
-    def note(self, trace_id: str, response: Message | None) -> None:
-        """Record an answer."""
-        result = "closed without an answer" if response is None else f"status {response.status}"
-        self.record.line("client", f"{trace_id}: {result}")
+            while not self.is_over.wait(0.1):
+                client.sock.sendall(b"u" * SLOW_PIECE_BYTES)
 
-    def use(self) -> None:
-        """Record sales among look-ups, until one of them has been sent again too late."""
-        for _ in range(SALES):
-            for _ in range(LOOKUPS_BETWEEN_SALES):
-                self.look_up()
-                time.sleep(1 / LOOKUPS_PER_SECOND)
-            self.sell()
-            if self.sales.breaks():
+    def sell(self) -> None:
+        """Record a sale with a long body, and judge its answer."""
+        length = len(self.body)
+        trace_id, head = self.sale_head(length)
+        with self.sidecar.connect(PATIENCE_SECONDS) as client:
+            try:
+                client.sock.sendall(head)
+                client.sock.sendall(self.body)
+            except OSError as error:
+                self.unwritten += 1
+                self.record.line("client", f"sale {trace_id} not written whole: {error!r}")
+                return
+            sent_at = self.record.line("client", f"sale {trace_id} written whole, {length} bytes")
+            try:
+                response = client.wire.read()
+            except TimeoutError:
+                self.record.line("client", f"sale {trace_id}: nothing in {PATIENCE_SECONDS} s")
+                self.breaks.append(
+                    f"sale {trace_id}, due in {SALE_DEADLINE} s: no answer, no close in {PATIENCE_SECONDS} s"
+                )
                 return
+        result = "closed without an answer" if response is None else f"status {response.status}"
+        took = self.record.line("client", f"sale {trace_id}: {result}") - sent_at
+        if took > SALE_DEADLINE + LOST_AFTER_SECONDS + SLACK:
+            self.breaks.append(f"sale {trace_id}, due in {SALE_DEADLINE} s: {result} after {took:.3f} s")
 
 
 def play(case: Case) -> list[str]:
-    """Let clients record sales with long bodies."""
+    """Record sales with long bodies while one upstream hangs."""
     this = Play(case)
-    users = [threading.Thread(target=this.use) for _ in range(CLIENTS)]
-    for user in users:
-        user.start()
-    for user in users:
-        user.join()
-    return this.sales.breaks()
+    for _ in range(LOOKUPS):
+        this.look_up()
+    uploads = [threading.Thread(target=this.upload_slowly) for _ in range(SLOW_UPLOADS)]
+    for upload in uploads:
+        upload.start()
+    time.sleep(0.5)
+    if case.has_trouble:
+        this.upstreams[0].hangs_until = case.record.now() + HANG_SECONDS
+        case.record.line(this.upstreams[0].name, f"hangs for {HANG_SECONDS} s from here on")
+    threads = []
+    for _ in range(SALES):
+        threads.append(threading.Thread(target=this.sell))
+        threads[-1].start()
+        time.sleep(1 / SALES_PER_SECOND)
+    for thread in threads:
+        thread.join()
+    this.is_over.set()
+    for upload in uploads:
+        upload.join()
+    if this.unwritten and not this.breaks:
+        raise CannotRunError("the system's buffers were too small for the clients' requests")
+    return this.breaks
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -543,7 +543,7 @@
     def __init__(self, record: Record, folder: Path, config: dict[str, Any], name: str) -> None:
         self.record = record
         self.name = name
-        self.folder = folder
+        self.tmp = folder / f"tmp-{config['name']}"  # common to the processes of one sidecar
         self.config = {"listen": unused_address(), **config}
         self.file = folder / f"{name}.json"
         self.log = folder / f"{name}.log"
@@ -560,15 +560,14 @@
         self.write_config()
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
             command = tomllib.load(file)["run"]
-        tmp = self.folder / f"tmp-{self.name}"  # common to the processes of one sidecar
-        tmp.mkdir(exist_ok=True)
+        self.tmp.mkdir(exist_ok=True)
         environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
         environ |= {
             "EDGE_CONFIG": str(self.file),
             "EDGE_NAME": self.config["name"],
             "EDGE_LISTEN": self.config["listen"],
             "EDGE_DISCOVERY": self.config["discovery"],
-            "TMPDIR": str(tmp),
+            "TMPDIR": str(self.tmp),
         }
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
@@ -586,9 +585,12 @@
         raise CannotRunError("the sidecar was not ready in time")
 
     def _is_ready(self) -> bool:
+        """Ask the process itself: at its admin address, if it has one, as another may have its listener."""
+        admin = self.config.get("admin_addr")
+        path = "/admin/health" if admin else "/_health"
         try:
-            with self.connect(1.0) as client:
-                client.sock.sendall(b"GET /_health HTTP/1.1\r\nHost: backend.local\r\n\r\n")
+            with Client(parse_address(admin or self.config["listen"]), 1.0) as client:
+                client.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: backend.local\r\n\r\n".encode())
                 answer = client.wire.read()
                 return answer is not None and answer.status == 200
         except OSError:
@@ -662,7 +664,9 @@
             "settings": settings,
             **config,
         }
-        sidecar = Sidecar(self.record, self.folder, values, values["name"])
+        number = sum(each.config["name"] == values["name"] for each in self.sidecars)
+        name = f"{values['name']}-{number + 1}" if number else values["name"]
+        sidecar = Sidecar(self.record, self.folder, values, name)
         self.sidecars.append(sidecar)
         return sidecar
 
