--- a/review/6/case.py
+++ b/review/6/case.py
@@ -154,7 +154,10 @@
     def be_bad(self) -> None:
         """Send half a request, stay, and come again when turned away, together with all others."""
         for _ in range(BURSTS):
-            self.burst.wait()
+            try:
+                self.burst.wait()
+            except threading.BrokenBarrierError:
+                return
             try:
                 with self.sidecar.connect(4.0) as client:
                     client.sock.sendall(self.head(PROMISED_BYTES)[1] + b"b" * SENT_BYTES)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -21,6 +21,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -690,6 +691,9 @@
     except (CannotRunError, OSError) as error:
         case.record.line("case", f"could not run: {error!r}")
         print(f"could not run: {error}")
+    except BaseException:
+        # also at SIGTERM and SIGINT: what was started is ended below, and the case has not run
+        traceback.print_exc()
     else:
         for each in breaks:
             case.record.line("broken", each)
@@ -699,4 +703,6 @@
     finally:
         case.close()
         case.record.line("case", f"exit status {status}")
-    os._exit(status)
+        # the threads of clients that still wait are not waited for
+        sys.stdout.flush()
+        os._exit(status)
