--- a/review/6/case.py
+++ b/review/6/case.py
@@ -160,9 +160,15 @@
                 return
             try:
                 with self.sidecar.connect(4.0) as client:
-                    client.sock.sendall(self.head(PROMISED_BYTES)[1] + b"b" * SENT_BYTES)
-                    client.sock.recv(4096)
-            except OSError:
+                    trace_id, head = self.head(PROMISED_BYTES)
+                    client.sock.sendall(head + b"b" * SENT_BYTES)
+                    self.record.line(
+                        "bad client", f"sent {SENT_BYTES} of {PROMISED_BYTES} bytes of {trace_id}"
+                    )
+                    data = client.sock.recv(4096)
+                    self.record.line("bad client", f"{trace_id}: {data[:12]!r}")
+            except OSError as error:
+                self.record.line("bad client", repr(error))
                 if self.ends():
                     self.burst.abort()
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -47,6 +47,7 @@
     def serve(self, wire: Wire) -> None:
         """Serve requests until either side closes the connection."""
         while request := self.read_request(wire):
+            self.record.line(self.name, f"got {request.trace_id} whole")
             time.sleep(WORK_SECONDS)
             answer = encode_response(
                 f"answer to {request.trace_id}".encode(),
@@ -89,6 +90,7 @@
                 number = next(self.numbers)
                 trace_id = f"{number:016x}"
                 client.sock.sendall(encode_request(f"/sklad-odczyt/k{number}", trace_id, DEADLINE))
+                self.record.line("client", f"{trace_id} sent")
                 response = client.wire.read()
                 if response is None:
                     self.record.line("client", f"{trace_id}: closed without an answer")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -143,6 +143,7 @@
             client.sock.sendall(
                 encode_request(f"/consulta-precio/{random.randrange(300)}", trace_id, LOOKUP_DEADLINE)
             )
+            self.record.line("client", f"look-up {trace_id} sent")
             self.note(trace_id, client.wire.read())
 
     def sell(self) -> None:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -118,6 +118,7 @@
         with self.sidecar.connect(LOOKUP_DEADLINE + 1.0) as client:
             path = f"/consulta-precio/{random.randrange(300)}"
             client.sock.sendall(encode_request(path, trace_id, LOOKUP_DEADLINE))
+            self.record.line("client", f"look-up {trace_id} sent")
             response = client.wire.read()
         result = "closed without an answer" if response is None else f"status {response.status}"
         self.record.line("client", f"{trace_id}: {result}")
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -314,8 +314,10 @@
             self.requests.append((at, request))
             data = self.answer(request, wire)
             if data is None:
+                self.record.line(self.name, f"closes without an answer to {request.trace_id}")
                 return
             wire.sock.sendall(data)
+            self.record.line(self.name, f"answered {request.trace_id}: {data[:60]!r}")
 
 
 @dataclass
