--- a/linetrack/server/attempt_runner.py
+++ b/linetrack/server/attempt_runner.py
@@ -216,8 +216,15 @@
 
     # --- Reading -------------------------------------------------------------------------------------
     def _reserve_memory(self, size: int) -> None:
-        """Wait until there is memory for a response of `size` bytes, and reserve it."""
-        self.reserved_bytes = self.budget.memory.wait_and_reserve(size)
+        """Wait until there is memory for a response of `size` bytes, and reserve it.
+
+        Raises:
+            TimeoutError: The attempt ended before there was.
+        """
+        reserved = self.budget.memory.reserve_while(size, lambda: not self.attempt.has_ended)
+        if reserved is None:
+            raise TimeoutError("no memory for the response before the end of its attempt")
+        self.reserved_bytes = reserved
 
     def _take_response(self, connection: Connection, response: Response, seen_at: int) -> None:
         """Stream a successful long response, or end the attempt with its response."""
--- a/linetrack/server/client_connection.py
+++ b/linetrack/server/client_connection.py
@@ -9,37 +9,35 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
 import gevent
 import structlog
 from gevent import socket
 
-from linetrack.control.connection_slots import ConnectionSlots, SlotState
+from linetrack.control.connection_slots import SlotState
 from linetrack.policy.events import RequestReceived
 from linetrack.server import client_timeouts
 from linetrack.server.active_request import FinalResponse
-from linetrack.server.budget import Budget
 from linetrack.server.client_timeouts import body_timeout
 from linetrack.server.clock import NEVER, clock
-from linetrack.server.dispatcher import Dispatcher
+from linetrack.server.connection_host import ConnectionHost
 from linetrack.server.http1 import statuses
 from linetrack.server.http1.errors import MalformedMessageError
-from linetrack.server.http1.limits import MAX_BUFFERED_BODY_BYTES
 from linetrack.server.http1.requests import READINESS_PATH, ClientRequest, RequestReader
 from linetrack.server.http1.responses import CONTINUE_RESPONSE, encode_response
 from linetrack.server.lingering_close import discard_until_close
 from linetrack.server.memory_budget import SMALL_BODY_BYTES
 from linetrack.server.notifications import IncomingRequest
 from linetrack.server.pending_request import PendingRequest
+from linetrack.server.request_memory import RequestMemory
 from linetrack.server.request_upload import RequestUpload
-from linetrack.server.request_validation import RequestValidator
 from linetrack.server.response_writer import write_response, write_stream
 from linetrack.server.sockets import READ_SIZE, is_readable
 
 log = structlog.get_logger()
 
-BODY_RESERVATION_BYTES = 256 * 1024  # reserved at a time if the length of a body is unknown
+# The share of its time that a complete request may wait for memory, before it is rejected.
+MAX_MEMORY_WAIT_SHARE = 0.25
 EVENT_LOOP_READ = 1  # the event loop's constant for "readable"
 
 
@@ -47,40 +45,6 @@
     """Raised in a connection's greenlet that waits for a request, so that the connection can be migrated."""
 
 
-class ConnectionHost(Protocol):
-    """The interface of the listener that its connections use.
-
-    Attributes:
-        budget: The budget of the process.
-        dispatcher: Receives the requests.
-        slots: Decides which connections are kept.
-        validator: Validates the requests.
-        is_serving: Returns whether the process is ready for requests.
-        is_closing: Whether connections are closed as soon as they are between requests.
-        rounds_retry_after: Whether `Retry-After` headers are rounded up to whole seconds.
-        migrate: Sends a connection, given its descriptor and its number of responses, to another process and
-            returns whether that succeeded; None if connections are not being migrated.
-        run_soon: Schedules a function in the event loop.
-        unread_connections: Connections with a pending request and unread bytes after it, because of which the
-            event loop does not notice that the client disconnects.
-    """
-
-    budget: Budget
-    dispatcher: Dispatcher
-    slots: ConnectionSlots
-    validator: RequestValidator
-    is_serving: Callable[[], bool]
-    is_closing: bool
-    rounds_retry_after: bool
-    migrate: Callable[[int, int], bool] | None
-    run_soon: Callable[[Callable[[], None]], object]
-    unread_connections: dict[ClientConnection, PendingRequest]
-
-    def on_connection_closed(self, connection: ClientConnection) -> None:
-        """Handle the end of a connection, which was closed."""
-        ...
-
-
 class ClientConnection:
     """One connection of the application.
 
@@ -91,7 +55,7 @@
         timeout_started_at: When the timeout of the current request started.
         deadline: When the listener ends the current read or write.
         is_busy: Whether a request is being served.
-        reserved_bytes: The memory reserved for a large request.
+        memory: The memory reserved for a large request.
         response_count: The number of responses of any kind that were written.
     """
 
@@ -100,10 +64,10 @@
         "greenlet",
         "host",
         "is_busy",
+        "memory",
         "pending_requests",
         "reader",
         "received_at",
-        "reserved_bytes",
         "response_count",
         "slot",
         "sock",
@@ -122,7 +86,7 @@
         self.timeout_started_at = now
         self.deadline = now + client_timeouts.REQUEST_TIMEOUT_US
         self.is_busy = False
-        self.reserved_bytes = 0
+        self.memory = RequestMemory(host.budget.memory)
         self.response_count = 0
         self.greenlet = gevent.Greenlet(self.serve)
         # A watcher for the whole connection, which replaces a greenlet per request; its callback never waits.
@@ -131,7 +95,7 @@
     # --- State that the listener checks ------------------------------------------------------------------
     def is_idle(self) -> bool:
         """Return whether no request is being read or served and no unread bytes have arrived."""
-        return not self.is_busy and not self.reader.has_partial_request and not is_readable(self.sock)
+        return self.is_between_requests() and not is_readable(self.sock)
 
     def is_between_requests(self) -> bool:
         """Return whether no request is pending or being served, and no byte of the next one was read."""
@@ -204,8 +168,7 @@
 
     def release_memory(self) -> None:
         """Release the memory that was reserved for a large request."""
-        self.host.budget.memory.release(self.reserved_bytes)
-        self.reserved_bytes = 0
+        self.memory.release()
 
     # --- Reading requests --------------------------------------------------------------------------------
     def _read_requests(self) -> bool:
@@ -225,8 +188,6 @@
             if reader.has_partial_request and reader.is_head_complete and not self._reserve_for_body():
                 reader.request.body_stream = RequestUpload(self, self.host.budget.memory.chunk_size)
                 self.pending_requests.append(reader.request)
-            elif reader.body_size > SMALL_BODY_BYTES and not self.reserved_bytes:
-                self.reserved_bytes = self.host.budget.memory.wait_and_reserve(MAX_BUFFERED_BODY_BYTES)
         return True
 
     def send_continue(self) -> None:
@@ -274,23 +235,11 @@
             RejectedRequestError: The request has a large body and is invalid, so its body is not read.
         """
         reader = self.reader
-        memory = self.host.budget.memory
         length = reader.declared_content_length()
         size = reader.body_size if length is None else length
-        if size <= SMALL_BODY_BYTES:
-            return True
-        if not self.reserved_bytes:
+        if size > SMALL_BODY_BYTES and not self.memory.reserved_bytes:
             self.host.validator.validate(reader.request)
-            if size <= MAX_BUFFERED_BODY_BYTES:
-                self.reserved_bytes = memory.wait_and_reserve(MAX_BUFFERED_BODY_BYTES)
-                return True
-        if size <= self.reserved_bytes:
-            return True
-        additional_bytes = size - self.reserved_bytes if length is not None else BODY_RESERVATION_BYTES
-        if not memory.try_reserve(additional_bytes):
-            return False
-        self.reserved_bytes += additional_bytes
-        return True
+        return self.memory.reserve_for_body(length, reader.body_size, self._is_open)
 
     # --- Serving a request -------------------------------------------------------------------------------
     def _serve_request(self, request: ClientRequest) -> bool:
@@ -301,11 +250,40 @@
             self.host.slots.finish_readiness_check(self.slot, clock())
             status = statuses.OK if self.host.is_serving() else statuses.SERVICE_UNAVAILABLE
             return self._respond(request, FinalResponse(status))
+        if not self._reserve_for_request(request):
+            return self._respond(request, FinalResponse(statuses.SERVICE_UNAVAILABLE))
         event = self.host.validator.accept(request)
         self.host.slots.receive_request(self.slot, self.received_at)
         response = self._dispatch(request, event)
         return response is not None and self._respond(request, response)
 
+    def _reserve_for_request(self, request: ClientRequest) -> bool:
+        """Reserve memory for a complete request with a large body; return False if it must be rejected.
+
+        The connection is busy while it waits, so that the listener does not take it for an idle one.
+
+        Raises:
+            RejectedRequestError: The request is invalid.
+            OSError: The connection was closed.
+        """
+        if self.memory.reserved_bytes or len(request.body) <= SMALL_BODY_BYTES:
+            return True
+        timeout = self.host.validator.effective_timeout(request)
+        self.host.slots.receive_request(self.slot, self.received_at)
+        give_up_at = self.received_at + int(timeout * MAX_MEMORY_WAIT_SHARE)
+        is_reserved = self.memory.reserve_for_request(
+            len(request.body), lambda: clock() < give_up_at and self._is_open()
+        )
+        if not self._is_open():
+            raise ConnectionAbortedError("the connection was closed while its request waited for memory")
+        if not is_reserved:
+            log.warning("no_memory_available", body_bytes=len(request.body))
+            self.host.validator.count_rejection(request)
+        return is_reserved
+
+    def _is_open(self) -> bool:
+        return bool(self.sock.fileno() >= 0)
+
     def _dispatch(self, request: ClientRequest, event: RequestReceived) -> FinalResponse | None:
         """Dispatch the request and return its final response, or None if the client disconnects first."""
         pending = PendingRequest(
--- a/linetrack/server/listener.py
+++ b/linetrack/server/listener.py
@@ -20,6 +20,7 @@
 from linetrack.server.budget import Budget
 from linetrack.server.client_connection import ClientConnection, ConnectionMigratedError
 from linetrack.server.clock import NEVER, clock
+from linetrack.server.connection_host import HostedConnection
 from linetrack.server.dispatcher import Dispatcher
 from linetrack.server.pending_request import PendingRequest
 from linetrack.server.request_validation import RequestValidator
@@ -61,7 +62,7 @@
         self.validator = RequestValidator(dispatcher, class_names, deadlines)
         self.slots = ConnectionSlots(budget.descriptors.client_slots)
         self.connections: dict[ConnectionSlot, ClientConnection] = {}
-        self.unread_connections: dict[ClientConnection, PendingRequest] = {}
+        self.unread_connections: dict[HostedConnection, PendingRequest] = {}
         self.migrate: Callable[[int, int], bool] | None = None
         self.is_closing = False
         self.listening_socket: socket.socket | None = None
@@ -122,7 +123,7 @@
         connection.greenlet.start()
         return connection
 
-    def on_connection_closed(self, connection: ClientConnection) -> None:
+    def on_connection_closed(self, connection: HostedConnection) -> None:
         """Free the slot and the descriptor of a connection that was closed."""
         del self.connections[connection.slot]
         self.slots.close(connection.slot, clock())
@@ -149,9 +150,9 @@
             # A request may have arrived just before the deadline and be unread: that connection is kept.
             if is_reading or not is_readable(connection.sock):
                 connection.expire()
-        for connection, pending in list(self.unread_connections.items()):
+        for unread, pending in list(self.unread_connections.items()):
             if pending.is_abandoned():
-                self.unread_connections.pop(connection, None)
+                self.unread_connections.pop(unread, None)
         while self._close_selected(self.slots.select_expired):
             pass
 
--- a/linetrack/server/memory_budget.py
+++ b/linetrack/server/memory_budget.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import gevent
@@ -51,18 +51,25 @@
         """Use all of the memory again."""
         self.max_bytes = connection_memory_bytes(self.memory_mb)
 
-    def wait_and_reserve(self, body_bytes: int) -> int:
-        """Wait until a body of this size fits, and reserve memory for it.
+    def reserve_while(self, body_bytes: int, is_wanted: Callable[[], bool]) -> int | None:
+        """Reserve memory for a body of this size as soon as it fits, waiting while it is still wanted.
 
         If nothing else is reserved, a body of any size fits.
 
+        Args:
+            body_bytes: The size of the body.
+            is_wanted: Called between checks; must return False after some time.
+
         Returns:
-            The number of bytes to release later; 0 for a small body.
+            The number of bytes to release later, which is 0 for a small body; None if the body did not fit
+            while it was wanted.
         """
         if body_bytes <= SMALL_BODY_BYTES:
             return 0
         reservation = COPIES_PER_LARGE_BODY * body_bytes
         while self.reserved_bytes and self.reserved_bytes + reservation > self.max_bytes:
+            if not is_wanted():
+                return None
             gevent.sleep(POLL_INTERVAL_SECONDS)
         self.reserved_bytes += reservation
         return reservation
--- a/linetrack/server/request_validation.py
+++ b/linetrack/server/request_validation.py
@@ -116,6 +116,15 @@
         affinity_key = segments[-1] if len(segments) > 1 else ""
         return ValidRequest(segments[0], class_index, affinity_key, timeout)
 
+    def effective_timeout(self, request: ClientRequest) -> int:
+        """Return the time within which a request gets its response, in microseconds.
+
+        Raises:
+            RejectedRequestError: The request fails a check.
+        """
+        valid = self._validate_and_count(request)
+        return min(valid.timeout, self.deadlines[valid.class_index])
+
     def accept(self, request: ClientRequest) -> RequestReceived:
         """Validate a request and return its event for the policy.
 
@@ -150,6 +159,10 @@
         """Mark the request with this identifier as finished."""
         self.recent_ids.finish(request_id)
 
+    def count_rejection(self, request: ClientRequest) -> None:
+        """Count a valid request that is rejected as there is no memory for it."""
+        self._count(request.path_segments()[0], RequestOutcome.REJECTED)
+
     def _validate_and_count(self, request: ClientRequest) -> ValidRequest:
         """Validate a request; if its timeout had expired when it arrived, count it as failed."""
         try:
