--- a/tests/server/test_memory_shortage.py
+++ b/tests/server/test_memory_shortage.py
@@ -29,7 +29,7 @@
 def test_a_complete_request_that_waits_for_memory_is_not_closed_as_an_idle_connection(
     listener: Listener, dispatcher: StoppedDispatcher
 ) -> None:
-    """Guards against review/6: its connection was closed, its greenlet went on, and the event loop aborted."""
+    """Guards against review/6: the connection was closed, its greenlet went on, the process aborted."""
     reserved = exhaust_memory(listener)
     sock = connect(listener)
     sock.sendall(class_request(body=LARGE_BODY))
