--- a/linetrack/server/upstream_pool.py
+++ b/linetrack/server/upstream_pool.py
@@ -29,7 +29,9 @@
 # The share of the upstream's keep-alive timeout for which a connection may be idle.  After a longer time, the
 # upstream could close it just as the next request is sent.
 MAX_IDLE_SHARE = 0.8
-REUSE_DELAY_US = 5_000  # how long a connection is not reused after a response, as stray bytes may follow it
+# How long a connection is not reused after a response: a second copy of the response may follow, and one that
+# is still on its way when the next request is written would be read as the response to that request.
+REUSE_DELAY_US = 25_000
 EXPIRY_INTERVAL_SECONDS = 1.0  # between checks for connections that were idle for too long
 # Idle times are recorded in groups by how many connections were idle already: 0, 1, 2, or 3 and more.
 IDLE_DEPTH_GROUPS = 4
--- a/tests/server/test_upstream_pool.py
+++ b/tests/server/test_upstream_pool.py
@@ -13,7 +13,7 @@
 from tests.server.running_attempts import RunningAttempts, endpoint_record, wait_until_reusable
 from tests.support.http import HttpConnection, HttpMessage, http_response
 from tests.support.servers import UpstreamServer, never_respond
-from tests.support.units import SECOND
+from tests.support.units import MS, SECOND
 from tests.support.waiting import run_until
 
 
@@ -80,6 +80,26 @@
     assert attempts.response_bodies() == [b"1"] * 5
 
 
+@pytest.mark.parametrize("copy_delay_ms", [6, 8, 20])
+def test_a_second_copy_some_milliseconds_late_reaches_no_other_request(
+    server: UpstreamServer, copy_delay_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against review/7: the connection was reused before the copy came, which was then served."""
+    attempts = RunningAttempts(server)
+    attempts.start()
+    attempts.wait_for_outcomes()
+    upstream = attempts.pool.endpoints["a"]
+    (connection,) = upstream.idle
+    # The copy is under way: the connection is not readable yet, and must not be reused.
+    monkeypatch.setattr(upstream_pool, "clock", lambda: connection.idle_since + copy_delay_ms * MS - 1)
+    assert attempts.pool.take_idle(upstream) is None
+    server.connections[0].sendall(http_response(b"copy"))
+    run_until(partial(is_readable, connection.sock))
+    monkeypatch.setattr(upstream_pool, "clock", lambda: connection.idle_since + SECOND)
+    assert attempts.pool.take_idle(upstream) is None
+    assert attempts.descriptors_in_use() == 0
+
+
 def test_a_connection_idle_for_longer_than_the_keep_alive_is_not_reused(server: UpstreamServer) -> None:
     attempts = RunningAttempts(server, keep_alive=0)
     attempts.start()
