--- a/linetrack/policy/actions.py
+++ b/linetrack/policy/actions.py
@@ -18,7 +18,7 @@
     request_id: int
     endpoint: str
     timeout: int = 0  # 0: until the request's own deadline
-    write_deadline: int = 0  # time after which it must not be written and ends as NOT_SENT; 0: none
+    write_deadline: int = 0  # time by which its last byte is written, or it ends as NOT_SENT; 0: none
 
 
 @dataclass(slots=True, frozen=True)
--- a/linetrack/policy/events.py
+++ b/linetrack/policy/events.py
@@ -81,6 +81,7 @@
     is_write: bool = False
     idempotency_key: int = 0  # a number that identifies the key; 0: none
     is_replayable: bool = True  # whether its body can be sent again; a streamed body cannot
+    has_long_body: bool = False  # whether its last byte may reach an endpoint long after an attempt's start
 
 
 @dataclass(slots=True, frozen=True)
--- a/linetrack/policy/send_guard.py
+++ b/linetrack/policy/send_guard.py
@@ -76,7 +76,8 @@
         if request.attempt_count and self._retry_window.is_exhausted(now):
             return None
         if executions and idempotency is Idempotency.IDEMPOTENCY_KEY:
-            if now >= self.key_expires_at(now, request):
+            # the last byte of a long body may arrive after the key has been forgotten
+            if request.received.has_long_body or now >= self.key_expires_at(now, request):
                 return None
             return _deduplication_scope(request, executions[0])
         return EVERYWHERE
--- a/linetrack/server/active_request.py
+++ b/linetrack/server/active_request.py
@@ -134,7 +134,7 @@
         self.endpoint = endpoint
         self.sent_at = sent_at
         self.deadline = deadline
-        self.write_deadline = write_deadline or deadline  # after which its first byte must not be written
+        self.write_deadline = write_deadline or deadline  # after which no byte of it must be written
         self.index = len(request.attempts)
         self.has_ended = False
         self.has_response_started = False  # whether its response is being streamed to the client
--- a/linetrack/server/attempt_runner.py
+++ b/linetrack/server/attempt_runner.py
@@ -183,7 +183,16 @@
         request = attempt.request.client_request
         connection.reader.is_response_to_head = request.method == "HEAD"
         timeout = min(remaining, attempt.request.timeout)
-        connection.write(encode_request(request, connection.address, timeout))
+        data = encode_request(request, connection.address, timeout)
+        if attempt.write_deadline < attempt.deadline:
+            try:
+                connection.write_within(data, (attempt.write_deadline - clock()) / SECOND)
+            except TimeoutError:
+                # The endpoint has not got the last byte, which it must not get any more.
+                self._finish(Outcome.NOT_SENT)
+                return False
+        else:
+            connection.write(data)
         if request.body_chunks or request.body_stream is not None:
             if not self._write_long_body(connection, request):
                 return False
--- a/linetrack/server/connection.py
+++ b/linetrack/server/connection.py
@@ -63,6 +63,10 @@
         """Write all of the data, waiting if necessary."""
         sockets.write(self.sock, data)
 
+    def write_within(self, data: bytes, seconds: float) -> None:
+        """Write all of the data; raises a `TimeoutError` if that takes longer, with a part of it written."""
+        sockets.write_within(self.sock, data, seconds)
+
     def read_response(self, stall_timeout: float, on_large_body: Callable[[int], None]) -> Response | None:
         """Wait until the response is complete or, if its body is too long to be buffered, has begun.
 
--- a/linetrack/server/request_validation.py
+++ b/linetrack/server/request_validation.py
@@ -153,6 +153,7 @@
             is_write=request.properties.get(WRITE_PROPERTY) in WRITE_VALUES,
             idempotency_key=hash(request.idempotency_key) if request.idempotency_key else 0,
             is_replayable=request.body_stream is None,
+            has_long_body=bool(request.body_chunks) or request.body_stream is not None,
         )
 
     def finish(self, request_id: str) -> None:
--- a/linetrack/server/sockets.py
+++ b/linetrack/server/sockets.py
@@ -35,6 +35,17 @@
         sock.sendall(memoryview(data)[sent:])
 
 
+def write_within(sock: socket.socket, data: bytes | bytearray, seconds: float) -> None:
+    """Write all of the data; raises a `TimeoutError` if that takes longer, with a part of it written."""
+    sock.settimeout(max(0.0, seconds))
+    try:
+        sock.sendall(data)
+    except BlockingIOError:
+        raise TimeoutError("no time left to write") from None
+    finally:
+        sock.settimeout(None)
+
+
 def is_transient_accept_error(error: OSError) -> bool:
     """Return whether accepting failed for a temporary reason, which must not end the listener or the process.
 
--- a/tests/policy/test_streamed_messages.py
+++ b/tests/policy/test_streamed_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from linetrack.policy.actions import CancelAttempt, RejectRequest, SetTimer
 from linetrack.policy.events import Outcome, RequestBodySent, RequestReceived, ResponseStarted, TimerFired
 from tests.helpers import IDEMPOTENT, KEYED_IN_ZONE, MS, SECOND, Driver, sends
@@ -50,3 +52,24 @@
     assert driver.balancer.lifecycle.requests[request_id].deadline == driver.now + 2 * SECOND
     ended = driver.end(request_id, first, Outcome.CONNECT_FAILED)
     assert [type(action) for action in ended] == [RejectRequest]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "is_sent_again"), [(Outcome.ERROR, False), (Outcome.RESET, False), (Outcome.NOT_SENT, True)]
+)
+def test_a_keyed_request_with_a_long_body_is_not_sent_again_once_it_may_have_been_executed(
+    outcome: Outcome, is_sent_again: bool
+) -> None:
+    """Guards against review/8: the last byte of the repeat came after the key had been forgotten."""
+    driver = Driver(slow_start_duration=0)
+    for _ in range(30):
+        driver.serve(KEYED_IN_ZONE)
+    for has_long_body in (True, False):
+        driver.count += 1
+        request_id = driver.count
+        received = RequestReceived(request_id, KEYED_IN_ZONE, 2 * SECOND, has_long_body=has_long_body)
+        (first,) = sends(driver.handle_event(received))
+        repeated = sends(driver.end(request_id, first, outcome))
+        assert bool(repeated) is (is_sent_again or not has_long_body)
+        if repeated:
+            driver.end(request_id, repeated[0], attempt=1)
--- a/tests/server/running_attempts.py
+++ b/tests/server/running_attempts.py
@@ -55,11 +55,17 @@
             stream.finish(Outcome.RESET)
         stream.finish(Outcome.SUCCESS)
 
-    def start(self, endpoint: str = "a", timeout: int = 20 * SECOND) -> Attempt:
+    def make_attempt(
+        self, endpoint: str = "a", timeout: int = 20 * SECOND, request: ClientRequest = GET
+    ) -> Attempt:
         now = clock()
-        request = ActiveRequest(RequestReceived(1, 0, timeout), GET, now, lambda _final: None)
-        attempt = Attempt(request, endpoint, now, request.deadline)
-        request.attempts.append(attempt)
+        active_request = ActiveRequest(RequestReceived(1, 0, timeout), request, now, lambda _final: None)
+        attempt = Attempt(active_request, endpoint, now, active_request.deadline)
+        active_request.attempts.append(attempt)
+        return attempt
+
+    def start(self, endpoint: str = "a", timeout: int = 20 * SECOND) -> Attempt:
+        attempt = self.make_attempt(endpoint, timeout)
         self.runner.start(attempt)
         return attempt
 
--- a/tests/server/test_attempt_runner.py
+++ b/tests/server/test_attempt_runner.py
@@ -1,18 +1,23 @@
 """Attempts against a stand-in endpoint: their outcomes, and the checks before the first byte is sent."""
 
 import socket
+import threading
 from collections.abc import Callable
 
 import gevent
 import pytest
 
 from linetrack.policy.events import EndpointStatus, Outcome
+from linetrack.server.clock import clock
 from linetrack.server.connection import Connection
 from linetrack.server.descriptor_budget import RESERVED_DESCRIPTORS
+from linetrack.server.http1.limits import MAX_BUFFERED_BODY_BYTES
+from linetrack.server.http1.requests import ClientRequest, RequestReader
+from linetrack.server.listener import Listener
 from linetrack.server.memory_budget import COPIES_PER_LARGE_BODY
 from linetrack.server.upstream_pool import PooledUpstream
 from tests.server.running_attempts import DIAL_TIMEOUT, RunningAttempts, endpoint_record
-from tests.support.http import HttpConnection, HttpMessage, http_response
+from tests.support.http import HttpConnection, HttpMessage, class_request, http_response
 from tests.support.servers import UpstreamServer, never_respond
 from tests.support.units import MS, SECOND
 from tests.support.waiting import TIMEOUT_SECONDS, run_until, wait_until
@@ -230,3 +235,38 @@
     attempts.pool.update_endpoints((), True)
     assert attempts.wait_for_outcomes() == [Outcome.NOT_SENT]
     assert not server.connections
+
+
+def test_an_attempt_whose_last_byte_is_not_written_by_its_write_deadline_ends_as_not_sent() -> None:
+    """Guards against review/8: the write deadline was checked before the first byte alone."""
+    may_read = threading.Event()
+
+    class SilentUpstream(UpstreamServer):
+        received_bytes = 0
+
+        def serve_connection(self, connection: HttpConnection) -> None:
+            may_read.wait(TIMEOUT_SECONDS)
+            while data := connection.sock.recv(65536):
+                self.received_bytes += len(data)
+
+    server = SilentUpstream("a")
+    attempts = RunningAttempts(server)
+    body = bytes(64 * 1024 * 1024)  # more than the system takes for a peer that reads nothing
+    request = ClientRequest("POST", "/look/k", "1", body=body)
+    attempt = attempts.make_attempt(request=request)
+    attempt.write_deadline = clock() + 100 * MS
+    attempts.runner.start(attempt)
+    assert attempts.wait_for_outcomes() == [Outcome.NOT_SENT]
+    assert clock() - attempt.write_deadline < SECOND
+    run_until(lambda: not attempts.descriptors_in_use())
+    may_read.set()
+    wait_until(lambda: server.received_bytes)
+    server.close()
+    assert server.received_bytes < len(body)
+
+
+def test_a_body_over_the_buffered_size_is_told_to_the_policy_as_long(listener: Listener) -> None:
+    for size, is_long in ((MAX_BUFFERED_BODY_BYTES, False), (MAX_BUFFERED_BODY_BYTES + 1, True)):
+        reader = RequestReader()
+        (request,) = reader.feed(class_request(body=bytes(size)))
+        assert listener.validator.accept(request).has_long_body is is_long
