A connection that sends at full speed gives way to others, and is parsed as it is served

What callers saw: while one client sent readiness checks, blank lines or tiny chunks at full speed, nobody else got a response; many short requests at once used up the memory; a request was lost if a large invalid one followed it in the same read.

Cause: a greenlet gives way only where it waits, which a connection that always has bytes never does; all bytes of a read were parsed at once, into objects of many times their size, and what followed a request was validated before it was dispatched.

--- a/linetrack/server/attempt_runner.py
+++ b/linetrack/server/attempt_runner.py
@@ -21,6 +21,7 @@
 from linetrack.server.budget import Budget
 from linetrack.server.clock import clock
 from linetrack.server.connection import Connection
+from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1 import statuses
 from linetrack.server.http1.encoding import LAST_CHUNK, encode_chunk
 from linetrack.server.http1.errors import MalformedMessageError
@@ -209,6 +210,7 @@
                 return self._forward_body(connection, request.body_stream)
         for body_chunk in request.body_chunks:
             connection.write(body_chunk)
+            yield_to_event_loop()
         return True
 
     def _forward_body(self, connection: Connection, body: BodyStream) -> bool:
--- a/linetrack/server/client_connection.py
+++ b/linetrack/server/client_connection.py
@@ -21,6 +21,7 @@
 from linetrack.server.client_timeouts import body_timeout
 from linetrack.server.clock import NEVER, clock
 from linetrack.server.connection_host import ConnectionHost
+from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1 import statuses
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.requests import READINESS_PATH, ClientRequest, RequestReader
@@ -99,7 +100,7 @@
 
     def is_between_requests(self) -> bool:
         """Return whether no request is pending or being served, and no byte of the next one was read."""
-        return not (self.is_busy or self.pending_requests or self.reader.has_partial_request)
+        return not (self.is_busy or self.pending_requests or self.reader.has_begun_request)
 
     def is_reading_request(self) -> bool:
         """Return whether it waits for the rest of a request."""
@@ -154,6 +155,8 @@
                     return
                 if not self._serve_request(self.pending_requests.popleft()):
                     return
+                if self.pending_requests or self.reader.has_begun_request:
+                    yield_to_event_loop()
             except ConnectionMigratedError:
                 pass  # interrupted while it waited for a request
 
@@ -177,19 +180,27 @@
         while not self.pending_requests:
             if reader.deferred_error is not None:
                 raise reader.deferred_error
-            if reader.request.expects_continue:
-                self.send_continue()
-            data = self.sock.recv(READ_SIZE)
-            if not data:
-                return False
-            self.receive(data)
-            if not self.pending_requests:
-                self.host.slots.begin_request(self.slot, self.received_at)
             if reader.has_partial_request and reader.is_head_complete and not self._reserve_for_body():
                 reader.request.body_stream = RequestUpload(self, self.host.budget.memory.chunk_size)
                 self.pending_requests.append(reader.request)
+            elif reader.has_unparsed_bytes:
+                self._parse()
+            elif not self._receive_next():
+                return False
+            if not self.pending_requests:
+                self.host.slots.begin_request(self.slot, self.received_at)
+                yield_to_event_loop()
         return True
 
+    def _receive_next(self) -> bool:
+        """Wait for more bytes and parse them; return False if the connection has ended."""
+        if self.reader.request.expects_continue:
+            self.send_continue()
+        data = self.sock.recv(READ_SIZE)
+        if data:
+            self.receive(data)
+        return bool(data)
+
     def send_continue(self) -> None:
         """Send a 100 response if the client waits for one before it sends the body."""
         request = self.reader.request
@@ -200,17 +211,23 @@
                 self.sock.sendall(CONTINUE_RESPONSE)
 
     def receive(self, data: bytes) -> None:
-        """Parse bytes that have arrived, and set the deadline of an incomplete request."""
+        """Take bytes that have arrived, and parse them as far as the next complete request."""
+        self.received_at = clock()
+        self.reader.add(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse bytes as far as the next complete request, and set the deadline of an incomplete one."""
         reader = self.reader
         had_partial_request = reader.has_partial_request
         was_head_complete = reader.is_head_complete
-        self.received_at = clock()
-        self.pending_requests.extend(reader.feed(data))
+        self.pending_requests.extend(reader.parse_next())
         if not reader.has_partial_request:
             return
         if self.pending_requests or (not had_partial_request and self.response_count):
-            # A new request has begun.  The timeout of the first one started when the connection was accepted.
-            self.timeout_started_at = self.received_at
+            # A new request has begun.  The timeout of the first one started when the connection was accepted,
+            # that of one that arrived with earlier ones starts when those have their responses.
+            self.timeout_started_at = max(self.timeout_started_at, self.received_at)
         if not self.is_busy:
             self._set_request_deadline(was_head_complete)
 
@@ -220,10 +237,11 @@
         if not reader.is_head_complete:
             self.deadline = self.timeout_started_at + client_timeouts.REQUEST_TIMEOUT_US
             return
+        last_progress_at = max(self.timeout_started_at, self.received_at)
         body_deadline = self.timeout_started_at + body_timeout(reader.body_size)
-        self.deadline = min(body_deadline, self.received_at + client_timeouts.REQUEST_TIMEOUT_US)
+        self.deadline = min(body_deadline, last_progress_at + client_timeouts.REQUEST_TIMEOUT_US)
         if not was_head_complete:
-            body_start_deadline = self.received_at + client_timeouts.BODY_START_TIMEOUT_US
+            body_start_deadline = last_progress_at + client_timeouts.BODY_START_TIMEOUT_US
             self.deadline = max(self.deadline, body_start_deadline)
 
     def _reserve_for_body(self) -> bool:
@@ -244,6 +262,8 @@
     # --- Serving a request -------------------------------------------------------------------------------
     def _serve_request(self, request: ClientRequest) -> bool:
         """Serve one request; return whether the connection is kept open."""
+        if not self._is_open():
+            raise ConnectionAbortedError("the connection was closed before its request was served")
         self.is_busy = True
         self.deadline = NEVER
         if request.path == READINESS_PATH:
@@ -337,9 +357,9 @@
         """Return whether the connection is kept open after the response."""
         if not request.keep_alive or not request.is_complete:
             return False
-        if self.host.is_closing and not self.pending_requests:
+        if self.host.is_closing and not self.pending_requests and not self.reader.has_unparsed_bytes:
             return False
-        has_next_request = bool(self.pending_requests) or self.reader.has_partial_request
+        has_next_request = bool(self.pending_requests) or self.reader.has_begun_request
         if self.slot.state is not SlotState.BUSY or has_next_request:
             return True
         # The next request may have arrived already and must not be lost by closing.
@@ -354,10 +374,10 @@
             now = clock()
             self.timeout_started_at = now
             self.deadline = now + client_timeouts.REQUEST_TIMEOUT_US
-            if self.slot.state is SlotState.BUSY and not self.reader.has_partial_request:
+            if self.slot.state is SlotState.BUSY and not self.reader.has_begun_request:
                 self.deadline = NEVER  # `slots` decides how long the idle connection is kept
                 self.host.slots.mark_idle(self.slot, now)
-        elif self.reader.has_partial_request or is_readable(self.sock):
+        elif self.reader.has_begun_request or is_readable(self.sock):
             self._linger()
 
     def _reject(self, status: int) -> None:
--- a/linetrack/server/connection.py
+++ b/linetrack/server/connection.py
@@ -10,6 +10,7 @@
 from gevent import socket
 
 from linetrack.server import sockets
+from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.responses import Response, ResponseReader
 
@@ -105,6 +106,7 @@
                 is_reported = True
                 length = reader.response.content_length
                 on_large_body(reader.max_buffered_body_bytes if length is None else length)
+            yield_to_event_loop()
             try:
                 data = self.sock.recv(sockets.READ_SIZE)
             except TimeoutError:
--- a/linetrack/server/greenlets.py
+++ b/linetrack/server/greenlets.py
@@ -1,4 +1,4 @@
-"""Essential greenlets: if one of them fails, the process exits."""
+"""Scheduling of greenlets: those that are essential, and giving way to others."""
 
 from __future__ import annotations
 
@@ -29,3 +29,15 @@
     except BaseException:
         log.exception("greenlet_crashed", greenlet=name)
         os._exit(CRASHED_EXIT_STATUS)
+
+
+def yield_to_event_loop() -> None:
+    """Let the event loop handle everything that is ready, and continue in its next turn.
+
+    A peer that sends and reads at full speed never lets its greenlet wait, and others would not be served.
+    `gevent.sleep(0)` does not suffice: with it, greenlets run several times before the event loop looks at
+    sockets and timers.
+    """
+    hub = gevent.get_hub()
+    with hub.loop.timer(0.0) as timer:
+        hub.wait(timer)
--- a/linetrack/server/http1/message_reader.py
+++ b/linetrack/server/http1/message_reader.py
@@ -133,7 +133,7 @@
         """Return the value of a header of the current message, or an empty string if it is absent."""
         return self.headers.get(name.key, b"").decode("latin-1").strip()
 
-    def _feed_parser(self, data: bytes) -> None:
+    def _feed_parser(self, data: bytes | memoryview) -> None:
         """Feed bytes to the parser; raises a `MalformedMessageError` if they are invalid."""
         self.incomplete_head_bytes = 0 if self.is_head_complete else self.incomplete_head_bytes + len(data)
         try:
--- a/linetrack/server/http1/requests.py
+++ b/linetrack/server/http1/requests.py
@@ -27,7 +27,13 @@
     TRANSFER_ENCODING,
     parse_properties,
 )
-from linetrack.server.http1.limits import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES
+from linetrack.server.http1.limits import (
+    CHUNKED_BODY_PARSE_BYTES,
+    HEAD_PARSE_BYTES,
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_BODY_BYTES,
+    MAX_HEAD_BYTES,
+)
 from linetrack.server.http1.message_reader import MessageReader
 from linetrack.server.http1.statuses import REQUEST_HEADER_FIELDS_TOO_LARGE
 
@@ -97,6 +103,7 @@
         self.request = ClientRequest("", "")  # the latest request whose head is complete
         self.completed_requests: list[ClientRequest] = []
         self.has_partial_request = False  # whether a request has begun and is incomplete
+        self._unparsed = memoryview(b"")
         # The error found in the bytes after the requests that `feed` returned.
         self.deferred_error: MalformedMessageError | None = None
 
@@ -143,7 +150,41 @@
         if request.body_stream is None:
             self.completed_requests.append(request)
 
-    def feed(self, data: bytes) -> list[ClientRequest]:
+    @property
+    def has_unparsed_bytes(self) -> bool:
+        """Whether bytes were added that are not parsed yet."""
+        return bool(self._unparsed)
+
+    @property
+    def has_begun_request(self) -> bool:
+        """Whether bytes of a request have arrived that was not returned."""
+        return self.has_partial_request or self.has_unparsed_bytes
+
+    def add(self, data: bytes) -> None:
+        """Keep bytes that have arrived, for `parse_next`."""
+        self._unparsed = memoryview(bytes(self._unparsed) + data if self._unparsed else data)
+
+    def parse_next(self) -> list[ClientRequest]:
+        """Parse the bytes that were added as far as the next complete request, and return what they complete.
+
+        Several short requests may be returned at once.  Raises the errors of `feed`.
+        """
+        requests: list[ClientRequest] = []
+        while self._unparsed and not requests:
+            size = self._parse_size()
+            part = self._unparsed[:size]
+            self._unparsed = self._unparsed[size:]
+            requests = self.feed(part)
+        return requests
+
+    def _parse_size(self) -> int:
+        """Return how many bytes to parse at once, so that few belong to what follows the current request."""
+        if not (self.has_partial_request and self.is_head_complete):
+            return HEAD_PARSE_BYTES
+        length = self.declared_content_length()
+        return CHUNKED_BODY_PARSE_BYTES if length is None else max(1, length - self.body_size)
+
+    def feed(self, data: bytes | memoryview) -> list[ClientRequest]:
         """Return the requests that these bytes complete, in order.
 
         If the bytes after a completed request are malformed, the error is stored as `deferred_error`.
--- a/linetrack/server/lingering_close.py
+++ b/linetrack/server/lingering_close.py
@@ -8,6 +8,7 @@
 from linetrack.server import client_timeouts
 from linetrack.server.client_timeouts import DeadlineSocket
 from linetrack.server.clock import clock
+from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.limits import MAX_BODY_BYTES
 from linetrack.server.sockets import READ_SIZE
 
@@ -28,6 +29,7 @@
     try:
         client.sock.shutdown(socket.SHUT_WR)
         while discarded < max_discarded and (data := client.sock.recv(READ_SIZE)):
+            yield_to_event_loop()
             discarded += len(data)
             if is_body_incomplete:
                 extension = discarded * SECOND // client_timeouts.MIN_BODY_BYTES_PER_SECOND
--- a/linetrack/server/request_upload.py
+++ b/linetrack/server/request_upload.py
@@ -9,6 +9,7 @@
 from linetrack.server import client_timeouts
 from linetrack.server.client_timeouts import DeadlineSocket, body_timeout
 from linetrack.server.clock import NEVER, clock
+from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.requests import RequestReader
 from linetrack.server.sockets import is_readable, unread_bytes
@@ -16,6 +17,8 @@
 #: How many bytes the client's system may hold of what the client has sent.
 CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024
 
+#: The time between checks whether the client may have sent its last byte, which cost system calls.
+CHECK_INTERVAL_US = SECOND // 10
 #: The time without a byte to the upstream after which the client's bytes no longer count as awaited.
 UPSTREAM_STALL_TIMEOUT_US = 5 * SECOND
 
@@ -120,7 +123,8 @@
         wait_started_at = clock()
         source.deadline = wait_started_at + min(client_timeouts.REQUEST_TIMEOUT_US, remaining_us)
         self._forwarding_since = NEVER
-        self.last_incomplete_at()
+        if wait_started_at - self._last_incomplete_at >= CHECK_INTERVAL_US:
+            self.last_incomplete_at()
         had_to_wait = not is_readable(source.sock)
         data = source.sock.recv(self.read_size())
         source.deadline = NEVER
@@ -128,6 +132,8 @@
         self._waited_us += now - wait_started_at
         if had_to_wait:
             self._last_incomplete_at = now
+        else:
+            yield_to_event_loop()
         if not data:
             raise ConnectionResetError("the client disconnected before the end of its request")
         try:
--- a/linetrack/server/response_stream.py
+++ b/linetrack/server/response_stream.py
@@ -8,6 +8,7 @@
 
 from linetrack.policy.events import Outcome
 from linetrack.server.connection import Connection
+from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.responses import Response
 
 
@@ -44,6 +45,7 @@
         """
         reader = self.connection.reader
         while not (chunks := reader.take_body_chunks()) and reader.completed_response is None:
+            yield_to_event_loop()
             data = self.connection.sock.recv(self.read_size())
             if data:
                 reader.feed(data)
