Memory is reserved for the bytes of a body that have come, and dropped when they are used

Cause: a head reserved 256 KiB or the whole length that it announced; reservations of streamed bodies ended before their bytes were written; rejected bodies, parsed buffers and written chunks stayed in memory while more was awaited; the error of a malformed request kept its connection until the next collection.

Change: 16 KiB at a time as bytes arrive, at most three quarters of the memory for large messages; a body of up to 64 KiB that finds none waits for a quarter of its request's time, while incomplete requests without a byte for 0.25 s are rejected, the longest first.

--- a/linetrack/server/attempt_runner.py
+++ b/linetrack/server/attempt_runner.py
@@ -221,8 +221,7 @@
                 # The upstream responded or closed before the end of the request, so it was not executed.
                 self._finish(Outcome.CONNECT_FAILED)
                 return False
-            for body_chunk in body_chunks:
-                connection.write(encode_chunk(body_chunk) if is_chunked else body_chunk)
+            _write_chunks(connection, body_chunks, is_chunked)
         if self.attempt.has_ended:
             return False
         if is_chunked:
@@ -308,6 +307,13 @@
         self.runner.notify(finished, seen_at)
 
 
+def _write_chunks(connection: Connection, chunks: list[bytes | bytearray], is_chunked: bool) -> None:
+    """Write chunks of a body and drop them, so that they do not stay in memory during the next wait."""
+    for chunk in chunks:
+        connection.write(encode_chunk(chunk) if is_chunked else chunk)
+    chunks.clear()
+
+
 def _outcome(response: Response) -> Outcome:
     if response.status == statuses.OK:
         return Outcome.SUCCESS
--- a/linetrack/server/client_connection.py
+++ b/linetrack/server/client_connection.py
@@ -37,8 +37,6 @@
 
 log = structlog.get_logger()
 
-# The share of its time that a complete request may wait for memory, before it is rejected.
-MAX_MEMORY_WAIT_SHARE = 0.25
 EVENT_LOOP_READ = 1  # the event loop's constant for "readable"
 
 
@@ -87,7 +85,7 @@
         self.timeout_started_at = now
         self.deadline = now + client_timeouts.REQUEST_TIMEOUT_US
         self.is_busy = False
-        self.memory = RequestMemory(host.budget.memory)
+        self.memory = RequestMemory(host, self._is_open)
         self.response_count = 0
         self.greenlet = gevent.Greenlet(self.serve)
         # A watcher for the whole connection, which replaces a greenlet per request; its callback never waits.
@@ -180,7 +178,11 @@
         while not self.pending_requests:
             if reader.deferred_error is not None:
                 raise reader.deferred_error
-            if reader.has_partial_request and reader.is_head_complete and not self._reserve_for_body():
+            if (
+                reader.has_partial_request
+                and reader.is_head_complete
+                and not self.memory.reserve_for_body(reader, self.received_at)
+            ):
                 reader.request.body_stream = RequestUpload(self, self.host.budget.memory.chunk_size)
                 self.pending_requests.append(reader.request)
             elif reader.has_unparsed_bytes:
@@ -244,21 +246,6 @@
             body_start_deadline = last_progress_at + client_timeouts.BODY_START_TIMEOUT_US
             self.deadline = max(self.deadline, body_start_deadline)
 
-    def _reserve_for_body(self) -> bool:
-        """Reserve memory for buffering the current body; return False if it must be streamed.
-
-        A body that does not fit the memory is forwarded as it arrives.
-
-        Raises:
-            RejectedRequestError: The request has a large body and is invalid, so its body is not read.
-        """
-        reader = self.reader
-        length = reader.declared_content_length()
-        size = reader.body_size if length is None else length
-        if size > SMALL_BODY_BYTES and not self.memory.reserved_bytes:
-            self.host.validator.validate(reader.request)
-        return self.memory.reserve_for_body(length, reader.body_size, self._is_open)
-
     # --- Serving a request -------------------------------------------------------------------------------
     def _serve_request(self, request: ClientRequest) -> bool:
         """Serve one request; return whether the connection is kept open."""
@@ -270,37 +257,16 @@
             self.host.slots.finish_readiness_check(self.slot, clock())
             status = statuses.OK if self.host.is_serving() else statuses.SERVICE_UNAVAILABLE
             return self._respond(request, FinalResponse(status))
-        if not self._reserve_for_request(request):
-            return self._respond(request, FinalResponse(statuses.SERVICE_UNAVAILABLE))
+        if len(request.body) > SMALL_BODY_BYTES:
+            # While it waits for memory, the connection must not be taken for an idle or incomplete one.
+            self.host.slots.receive_request(self.slot, self.received_at)
+            if not self.memory.reserve_for_request(request, self.received_at):
+                return self._respond(request, FinalResponse(statuses.SERVICE_UNAVAILABLE))
         event = self.host.validator.accept(request)
         self.host.slots.receive_request(self.slot, self.received_at)
         response = self._dispatch(request, event)
         return response is not None and self._respond(request, response)
 
-    def _reserve_for_request(self, request: ClientRequest) -> bool:
-        """Reserve memory for a complete request with a large body; return False if it must be rejected.
-
-        The connection is busy while it waits, so that the listener does not take it for an idle one.
-
-        Raises:
-            RejectedRequestError: The request is invalid.
-            OSError: The connection was closed.
-        """
-        if self.memory.reserved_bytes or len(request.body) <= SMALL_BODY_BYTES:
-            return True
-        timeout = self.host.validator.effective_timeout(request)
-        self.host.slots.receive_request(self.slot, self.received_at)
-        give_up_at = self.received_at + int(timeout * MAX_MEMORY_WAIT_SHARE)
-        is_reserved = self.memory.reserve_for_request(
-            len(request.body), lambda: clock() < give_up_at and self._is_open()
-        )
-        if not self._is_open():
-            raise ConnectionAbortedError("the connection was closed while its request waited for memory")
-        if not is_reserved:
-            log.warning("no_memory_available", body_bytes=len(request.body))
-            self.host.validator.count_rejection(request)
-        return is_reserved
-
     def _is_open(self) -> bool:
         return bool(self.sock.fileno() >= 0)
 
@@ -392,5 +358,7 @@
     def _linger(self) -> None:
         """Discard what the client still sends, so that it is not parsed as a request."""
         self.is_busy = True
+        self.reader.discard_bytes()
+        self.release_memory()
         is_body_incomplete = self.reader.has_partial_request and self.reader.request.body_stream is not None
         discard_until_close(self, is_body_incomplete)
--- a/linetrack/server/connection_host.py
+++ b/linetrack/server/connection_host.py
@@ -47,6 +47,10 @@
     run_soon: Callable[[Callable[[], None]], object]
     unread_connections: dict[HostedConnection, PendingRequest]
 
+    def reject_stalled_request(self) -> None:
+        """Reject the incomplete request that has stalled longest, as there is no memory for others."""
+        ...
+
     def on_connection_closed(self, connection: HostedConnection) -> None:
         """Handle the end of a connection, which was closed."""
         ...
--- a/linetrack/server/http1/message_reader.py
+++ b/linetrack/server/http1/message_reader.py
@@ -139,10 +139,16 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            cause = error.__context__
-            if isinstance(cause, MalformedMessageError):
-                raise cause from None
-            raise MalformedMessageError(f"invalid HTTP: {error}") from None
+            # It gets no name here: the frame, which its traceback refers to, would keep it alive.
+            raise _to_malformed_message(error) from None
         # The parser buffers an unterminated header without reporting it, so the bytes fed are limited too.
         if not self.is_head_complete and self.incomplete_head_bytes > 2 * MAX_HEAD_BYTES:
             raise MalformedMessageError("the head is too large", REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+
+def _to_malformed_message(error: httptools.HttpParserError) -> MalformedMessageError:
+    """Return the error that a callback of the parser raised, or one for what the parser itself found."""
+    cause = error.__context__
+    if isinstance(cause, MalformedMessageError):
+        return cause
+    return MalformedMessageError(f"invalid HTTP: {error}")
--- a/linetrack/server/http1/requests.py
+++ b/linetrack/server/http1/requests.py
@@ -164,6 +164,16 @@
         """Keep bytes that have arrived, for `parse_next`."""
         self._unparsed = memoryview(bytes(self._unparsed) + data if self._unparsed else data)
 
+    def discard_bytes(self) -> None:
+        """Drop what has arrived and was not returned, as no more requests are read."""
+        self._unparsed = memoryview(b"")
+        self.body_chunks = []
+
+    def close(self) -> None:
+        """Free the parser and the bytes; no more bytes may be fed afterwards."""
+        super().close()
+        self.discard_bytes()
+
     def parse_next(self) -> list[ClientRequest]:
         """Parse the bytes that were added as far as the next complete request, and return what they complete.
 
@@ -173,7 +183,8 @@
         while self._unparsed and not requests:
             size = self._parse_size()
             part = self._unparsed[:size]
-            self._unparsed = self._unparsed[size:]
+            # An empty view would keep all of the bytes in memory.
+            self._unparsed = self._unparsed[size:] if size < len(self._unparsed) else memoryview(b"")
             requests = self.feed(part)
         return requests
 
--- a/linetrack/server/lingering_close.py
+++ b/linetrack/server/lingering_close.py
@@ -10,11 +10,13 @@
 from linetrack.server.clock import clock
 from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.limits import MAX_BODY_BYTES
-from linetrack.server.sockets import READ_SIZE
 
 # The most bytes that are read and discarded before closing, unless the client is in the middle of a body.
 MAX_DISCARDED_BYTES = 256 * 1024
 
+# How many bytes are read at a time; the last ones stay in memory while the next ones are awaited.
+DISCARD_READ_SIZE = 4 * 1024
+
 
 def discard_until_close(client: DeadlineSocket, is_body_incomplete: bool) -> None:
     """After the last response, read and discard what the client still sends.
@@ -28,7 +30,7 @@
     discarded = 0
     try:
         client.sock.shutdown(socket.SHUT_WR)
-        while discarded < max_discarded and (data := client.sock.recv(READ_SIZE)):
+        while discarded < max_discarded and (data := client.sock.recv(DISCARD_READ_SIZE)):
             yield_to_event_loop()
             discarded += len(data)
             if is_body_incomplete:
--- a/linetrack/server/listener.py
+++ b/linetrack/server/listener.py
@@ -32,6 +32,10 @@
 SWEEP_INTERVAL_SECONDS = 0.1  # between checks for connections that have passed their deadlines
 ACCEPT_BATCH_SIZE = 64  # the maximum number of connections accepted in one turn of the event loop
 ACCEPT_RETRY_SECONDS = 0.01  # the delay before accepting is retried if no descriptor was available
+# While memory is short: the time between looks at all connections, and the time without a byte after which an
+# incomplete request counts as stalled.
+STALL_CHECK_INTERVAL_US = 5_000
+MIN_STALL_US = SECOND // 4
 
 
 class Listener:
@@ -65,6 +69,7 @@
         self.unread_connections: dict[HostedConnection, PendingRequest] = {}
         self.migrate: Callable[[int, int], bool] | None = None
         self.is_closing = False
+        self._next_stall_check_at = 0
         self.listening_socket: socket.socket | None = None
         self.run_soon: Callable[[Callable[[], None]], object] = gevent.get_hub().loop.run_callback
         budget.descriptors.evict_client = self._evict
@@ -156,6 +161,26 @@
         while self._close_selected(self.slots.select_expired):
             pass
 
+    def reject_stalled_request(self) -> None:
+        """Reject the incomplete request that has stalled longest, as there is no memory for others.
+
+        As it looks at all connections, it does so once in `STALL_CHECK_INTERVAL_US`.
+        """
+        now = clock()
+        if now < self._next_stall_check_at:
+            return
+        self._next_stall_check_at = now + STALL_CHECK_INTERVAL_US
+        stalled = [
+            connection
+            for connection in self.connections.values()
+            if connection.is_reading_request()
+            and connection.memory.reserved_bytes
+            and now - connection.received_at >= MIN_STALL_US
+            and not is_readable(connection.sock)
+        ]
+        if stalled:
+            min(stalled, key=lambda connection: connection.received_at).expire()
+
     def _evict(self) -> bool:
         """Close a connection to make room for another one; return False if none may be closed yet."""
         return self._close_selected(self.slots.select_eviction)
--- a/linetrack/server/memory_budget.py
+++ b/linetrack/server/memory_budget.py
@@ -15,9 +15,9 @@
 # The largest body that counts as part of its connection's memory; most bodies are far smaller.
 SMALL_BODY_BYTES = 8 * 1024
 COPIES_PER_LARGE_BODY = 4  # held at the same time: as received, joined, as forwarded, as sent
-#: The share of the memory for large messages that long request bodies may use; the rest remains for responses
-#: that are buffered until they are complete.
-MAX_LONG_BODY_SHARE = 0.75
+#: The share of the memory for large messages that incomplete and long request bodies may use; the rest
+#: remains for complete requests and for responses that are buffered until they are complete.
+MAX_UNFINISHED_BODY_SHARE = 0.75
 # The chunks of all streamed messages together use at most one part in eight of the memory for large messages.
 STREAM_MEMORY_DIVISOR = 8
 # The limits of the chunk size, which is the number of bytes read at a time from a streamed message.
@@ -51,32 +51,39 @@
         """Use all of the memory again."""
         self.max_bytes = connection_memory_bytes(self.memory_mb)
 
-    def reserve_while(self, body_bytes: int, is_wanted: Callable[[], bool]) -> int | None:
-        """Reserve memory for a body of this size as soon as it fits, waiting while it is still wanted.
+    def reserve_while(
+        self, body_bytes: int, is_wanted: Callable[[], bool], held_bytes: int = 0
+    ) -> int | None:
+        """Reserve memory for a complete body of this size as soon as it fits, waiting while it is wanted.
 
         If nothing else is reserved, a body of any size fits.
 
         Args:
             body_bytes: The size of the body.
             is_wanted: Called between checks; must return False after some time.
+            held_bytes: What is already reserved for this body.
 
         Returns:
-            The number of bytes to release later, which is 0 for a small body; None if the body did not fit
-            while it was wanted.
+            How many more bytes to release later, which are none for a small body; None if the body did not
+            fit while it was wanted.
         """
         if body_bytes <= SMALL_BODY_BYTES:
             return 0
-        reservation = COPIES_PER_LARGE_BODY * body_bytes
-        while self.reserved_bytes and self.reserved_bytes + reservation > self.max_bytes:
+        reservation = max(0, COPIES_PER_LARGE_BODY * body_bytes - held_bytes)
+        while self.reserved_bytes > held_bytes and self.reserved_bytes + reservation > self.max_bytes:
             if not is_wanted():
                 return None
             gevent.sleep(POLL_INTERVAL_SECONDS)
         self.reserved_bytes += reservation
         return reservation
 
+    def fits(self, byte_count: int) -> bool:
+        """Return whether so many more bytes of incomplete and of long bodies fit."""
+        return self.reserved_bytes + byte_count <= self.max_bytes * MAX_UNFINISHED_BODY_SHARE
+
     def try_reserve(self, byte_count: int) -> bool:
-        """Reserve more bytes for a long body if they fit; return whether they do."""
-        if self.reserved_bytes + byte_count > self.max_bytes * MAX_LONG_BODY_SHARE:
+        """Reserve more bytes for an incomplete or long body if they fit; return whether they do."""
+        if not self.fits(byte_count):
             return False
         self.reserved_bytes += byte_count
         return True
--- a/linetrack/server/request_memory.py
+++ b/linetrack/server/request_memory.py
@@ -1,17 +1,48 @@
 """The memory that the requests of one client connection have reserved.
 
-It decides whether the body of a request is buffered or streamed.  Every wait for memory ends as soon as the
-request is no longer worth serving.
+It decides whether the body of a request is buffered or streamed.  Every wait for memory ends after a share of
+the request's time, or with the connection.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
+import gevent
+import structlog
+
+from linetrack.server.budget import Budget
+from linetrack.server.clock import clock
+from linetrack.server.http1 import statuses
+from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.limits import MAX_BUFFERED_BODY_BYTES
-from linetrack.server.memory_budget import SMALL_BODY_BYTES, MemoryBudget
+from linetrack.server.http1.requests import ClientRequest, RequestReader
+from linetrack.server.memory_budget import POLL_INTERVAL_SECONDS, SMALL_BODY_BYTES
+from linetrack.server.request_validation import RequestValidator
+
+log = structlog.get_logger()
+
+# Memory for an incomplete body is reserved in steps of this size, as its bytes arrive.
+RESERVATION_STEP_BYTES = 16 * 1024
+# The share of its time that a request may wait for memory, before it is rejected.
+MAX_WAIT_SHARE = 0.25
+
+
+class MemoryHost(Protocol):
+    """What the connections of a process have in common, as far as their memory is concerned.
+
+    Attributes:
+        budget: The budget of the process.
+        validator: Validates the requests.
+    """
 
-BODY_RESERVATION_BYTES = 256 * 1024  # reserved at a time if the length of a body is unknown
+    budget: Budget
+    validator: RequestValidator
+
+    def reject_stalled_request(self) -> None:
+        """Reject the incomplete request that has stalled longest, as there is no memory for others."""
+        ...
 
 
 class RequestMemory:
@@ -21,48 +52,104 @@
         reserved_bytes: The memory reserved for a large request.
     """
 
-    __slots__ = ("budget", "reserved_bytes")
+    __slots__ = ("host", "is_open", "reserved_bytes")
 
-    def __init__(self, budget: MemoryBudget) -> None:
-        self.budget = budget
+    def __init__(self, host: MemoryHost, is_open: Callable[[], bool]) -> None:
+        """Reserve nothing yet; `is_open` returns whether the connection is still open."""
+        self.host = host
+        self.is_open = is_open
         self.reserved_bytes = 0
 
     def release(self) -> None:
         """Release all that is reserved."""
-        self.budget.release(self.reserved_bytes)
+        self.host.budget.memory.release(self.reserved_bytes)
         self.reserved_bytes = 0
 
-    def reserve_for_request(self, body_bytes: int, is_wanted: Callable[[], bool]) -> bool:
-        """Reserve memory for a complete request, waiting while it is wanted; return whether there was any."""
-        if self.reserved_bytes:
-            return True
-        reserved = self.budget.reserve_while(body_bytes, is_wanted)
-        self.reserved_bytes = reserved or 0
-        return reserved is not None
-
-    def reserve_for_body(
-        self, declared_bytes: int | None, received_bytes: int, is_wanted: Callable[[], bool]
-    ) -> bool:
-        """Reserve memory for buffering an incomplete body; return False if it must be streamed.
-
-        A long body that does not fit the memory is forwarded as it arrives.  A shorter one waits while it is
-        wanted.
-
-        Args:
-            declared_bytes: The length of the body, if the head declares it.
-            received_bytes: How much of the body has arrived.
-            is_wanted: Returns whether the request may still wait for memory.
+    # --- Complete requests -------------------------------------------------------------------------------
+    def reserve_for_request(self, request: ClientRequest, received_at: int) -> bool:
+        """Reserve memory for a complete request with a large body; return False if it must be rejected.
+
+        Raises:
+            RejectedRequestError: The request is invalid.
+            OSError: The connection was closed.
+        """
+        give_up_at = self._give_up_at(request, received_at)
+        reserved = self.host.budget.memory.reserve_while(
+            len(request.body), lambda: self._can_wait(give_up_at), self.reserved_bytes
+        )
+        if not self.is_open():
+            self.host.budget.memory.release(reserved or 0)
+            raise ConnectionAbortedError("the connection was closed while its request waited for memory")
+        if reserved is None:
+            self._record_shortage(request, len(request.body))
+            return False
+        self.reserved_bytes += reserved
+        return True
+
+    # --- Incomplete requests -----------------------------------------------------------------------------
+    def reserve_for_body(self, reader: RequestReader, received_at: int) -> bool:
+        """Reserve memory for what has arrived of the current body; return False if it must be streamed.
+
+        A long body that does not fit the memory is forwarded as it arrives; a shorter one waits.
+
+        Raises:
+            RejectedRequestError: The request has a large body and is invalid, so its body is not read.
+            MalformedMessageError: There was no memory for a body that is not long.
         """
-        size = received_bytes if declared_bytes is None else declared_bytes
+        declared_bytes = reader.declared_content_length()
+        size = reader.body_size if declared_bytes is None else declared_bytes
         if size <= SMALL_BODY_BYTES:
             return True
-        if not self.reserved_bytes and size <= MAX_BUFFERED_BODY_BYTES:
-            self.reserved_bytes = self.budget.reserve_while(MAX_BUFFERED_BODY_BYTES, is_wanted) or 0
+        if not self.reserved_bytes:
+            self.host.validator.validate(reader.request)
+        if self._try_buffer(size, reader.body_size):
             return True
-        if size <= self.reserved_bytes:
+        if size > MAX_BUFFERED_BODY_BYTES:
+            return False
+        self._wait_to_buffer(reader, size, received_at)
+        return True
+
+    def _try_buffer(self, size: int, received_bytes: int) -> bool:
+        """Reserve memory for what has arrived of a body; return whether there is any.
+
+        Nothing is reserved for bytes that the head announces, as clients may never send them.  A long body
+        that would not fit is not begun.
+        """
+        if received_bytes <= SMALL_BODY_BYTES and size <= MAX_BUFFERED_BODY_BYTES:
             return True
-        additional_bytes = BODY_RESERVATION_BYTES if declared_bytes is None else size - self.reserved_bytes
-        if not self.budget.try_reserve(additional_bytes):
+        memory = self.host.budget.memory
+        if size > MAX_BUFFERED_BODY_BYTES and not self.reserved_bytes and not memory.fits(size):
             return False
-        self.reserved_bytes += additional_bytes
+        steps = -(-received_bytes // RESERVATION_STEP_BYTES)
+        missing_bytes = steps * RESERVATION_STEP_BYTES - self.reserved_bytes
+        if missing_bytes <= 0:
+            return True
+        if not memory.try_reserve(missing_bytes):
+            return False
+        self.reserved_bytes += missing_bytes
         return True
+
+    def _wait_to_buffer(self, reader: RequestReader, size: int, received_at: int) -> None:
+        give_up_at = self._give_up_at(reader.request, received_at)
+        while not self._try_buffer(size, reader.body_size):
+            if not self._can_wait(give_up_at):
+                self._record_shortage(reader.request, size)
+                raise MalformedMessageError("no memory for the body", statuses.SERVICE_UNAVAILABLE)
+            gevent.sleep(POLL_INTERVAL_SECONDS)
+
+    # --- Waiting -----------------------------------------------------------------------------------------
+    def _give_up_at(self, request: ClientRequest, received_at: int) -> int:
+        """Return until when a request may wait; raises a `RejectedRequestError` if it is invalid."""
+        timeout = self.host.validator.effective_timeout(request)
+        return received_at + int(timeout * MAX_WAIT_SHARE)
+
+    def _can_wait(self, give_up_at: int) -> bool:
+        """Return whether a request may wait longer, and make room for it if so."""
+        if clock() >= give_up_at or not self.is_open():
+            return False
+        self.host.reject_stalled_request()
+        return True
+
+    def _record_shortage(self, request: ClientRequest, body_bytes: int) -> None:
+        log.warning("no_memory_available", body_bytes=body_bytes)
+        self.host.validator.count_rejection(request)
--- a/linetrack/server/request_upload.py
+++ b/linetrack/server/request_upload.py
@@ -64,6 +64,7 @@
         self.error: OSError | MalformedMessageError | None = None
         self.on_aborted: Callable[[], None] = _do_nothing
         self.on_complete: Callable[[], None] = _do_nothing
+        self._has_returned_chunks = False
         self._waited_us = 0  # time spent waiting for the client
         self._last_incomplete_at = clock()
         self._forwarding_since = self._last_incomplete_at  # NEVER while it waits for the client
@@ -80,6 +81,8 @@
             OSError: The client disconnected, or its connection was closed as it sent nothing in time.
             MalformedMessageError: The body is malformed.
         """
+        if self._has_returned_chunks:
+            self.source.release_memory()  # of the chunks returned before, which have been written
         try:
             while not (chunks := self._take_chunks()) and not self.request.is_complete:
                 self._receive()
@@ -91,6 +94,7 @@
             on_complete = self.on_complete
             self.on_complete = _do_nothing
             on_complete()
+        self._has_returned_chunks = True
         return chunks
 
     def last_incomplete_at(self) -> int:
@@ -145,11 +149,10 @@
             source.reader.deferred_error = error
 
     def _take_chunks(self) -> list[bytes | bytearray]:
-        """Return the chunks that have arrived since the last call, and release their reserved memory."""
+        """Return the chunks that have arrived since the last call."""
         if self.request.is_complete:
             chunks = list(self.request.body_chunks)
             self.request.body_chunks = []
         else:
             chunks = self.source.reader.take_body_chunks()
-        self.source.release_memory()
         return chunks
--- a/linetrack/server/response_writer.py
+++ b/linetrack/server/response_writer.py
@@ -73,8 +73,7 @@
     try:
         _write_with_deadline(client, head)
         while chunks := _read_chunks(client, stream):
-            for chunk in chunks:
-                _write_with_deadline(client, encode_chunk(chunk) if framing is BodyFraming.CHUNKED else chunk)
+            _write_chunks(client, chunks, framing is BodyFraming.CHUNKED)
         if chunks is None:
             outcome = Outcome.RESET
             if framing is BodyFraming.CONNECTION_CLOSE:
@@ -99,6 +98,13 @@
         return None
 
 
+def _write_chunks(client: DeadlineSocket, chunks: list[bytes | bytearray], is_chunked: bool) -> None:
+    """Write chunks and drop them, so that they do not stay in memory during the next wait."""
+    for chunk in chunks:
+        _write_with_deadline(client, encode_chunk(chunk) if is_chunked else chunk)
+    chunks.clear()
+
+
 def _write_with_deadline(client: DeadlineSocket, data: bytes | bytearray) -> None:
     client.deadline = clock() + client_timeouts.STREAM_WRITE_TIMEOUT_US
     write(client.sock, data)
--- a/tests/server/test_budget.py
+++ b/tests/server/test_budget.py
@@ -5,7 +5,12 @@
 from hypothesis import strategies as st
 
 from linetrack.server.budget import CLIENT_CONNECTION_KB, MIN_CLIENTS, Budget
-from linetrack.server.memory_budget import BASE_MEMORY_MB, MAX_LONG_BODY_SHARE, MIN_CHUNK_BYTES, MemoryBudget
+from linetrack.server.memory_budget import (
+    BASE_MEMORY_MB,
+    MAX_UNFINISHED_BODY_SHARE,
+    MIN_CHUNK_BYTES,
+    MemoryBudget,
+)
 
 MB = 1024 * 1024
 
@@ -30,7 +35,7 @@
 
 @pytest.mark.parametrize("memory_mb", [32, 64, 192])
 @given(steps=st.lists(st.tuples(st.integers(1, 32 * MB), st.booleans()), max_size=30))
-def test_reserved_bytes_never_exceed_the_share_for_long_bodies(
+def test_reserved_bytes_never_exceed_the_share_for_unfinished_bodies(
     memory_mb: int, steps: list[tuple[int, bool]]
 ) -> None:
     budget, reserved = MemoryBudget(memory_mb), 0
@@ -40,7 +45,7 @@
             if is_released:
                 budget.release(size)
                 reserved -= size
-        assert budget.reserved_bytes == reserved <= budget.max_bytes * MAX_LONG_BODY_SHARE
+        assert budget.reserved_bytes == reserved <= budget.max_bytes * MAX_UNFINISHED_BODY_SHARE
         assert budget.max_bytes <= memory_mb * MB
     budget.stream_count = 400
     assert budget.chunk_size() * budget.stream_count <= max(budget.max_bytes, 400 * MIN_CHUNK_BYTES)
