A process that ends waits for responses that are being streamed

Cause: the process ended at the longest deadline and 0.6 s, whatever was on its way.

Change: it waits for streamed responses, 30 s at most, after a handover too.

Test: tests/server/test_shutdown.py, a response that goes on for 4 s after SIGTERM with a longest deadline of 2 s; it ended in the middle before.

--- a/linetrack/server/dispatcher.py
+++ b/linetrack/server/dispatcher.py
@@ -111,6 +111,10 @@
         """Return an identifier for a new request, unique within the process."""
         return next(self._request_ids)
 
+    def has_open_streams(self) -> bool:
+        """Return whether a response is being streamed to a client."""
+        return any(request.stream and not request.is_completed for request in self.active_requests.values())
+
     def run(self) -> None:
         """Process notifications and timers forever."""
         while True:
--- a/linetrack/server/lifecycle.py
+++ b/linetrack/server/lifecycle.py
@@ -41,6 +41,7 @@
 log = structlog.get_logger()
 
 CONNECT_GRACE_SECONDS = 0.5  # after SIGTERM, while clients may still connect
+STREAM_GRACE_SECONDS = 30.0  # after all other requests have ended, for responses that are being streamed
 FINAL_WRITE_GRACE_US = 100_000  # after the last response, until its last bytes are read
 DRAIN_POLL_SECONDS = 0.01  # interval of checking whether every request has its response
 ENDPOINT_LIST_TIMEOUT_SECONDS = 4.0  # after this the process serves without a response from discovery
@@ -222,6 +223,7 @@
         self.dispatcher.shutdown_deadline = deadline - FINAL_WRITE_GRACE_US
         if not self.hot_restart.wait_for_handover(deadline):
             self._shut_down(deadline)
+        self._finish_streams()
 
     def _shut_down(self, deadline: int) -> None:
         """End without a successor: close each connection once it has no request in flight."""
@@ -237,6 +239,12 @@
         while self.listener.connections and clock() < deadline:
             gevent.sleep(DRAIN_POLL_SECONDS)
 
+    def _finish_streams(self) -> None:
+        """Wait for responses that are still being streamed, as their upstreams go on sending them."""
+        deadline = clock() + int(STREAM_GRACE_SECONDS * SECOND)
+        while self.dispatcher.has_open_streams() and clock() < deadline:
+            gevent.sleep(DRAIN_POLL_SECONDS)
+
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         log.info("phase_changed", phase=phase.value, **self.metrics.totals())
--- a/tests/server/test_shutdown.py
+++ b/tests/server/test_shutdown.py
@@ -5,6 +5,7 @@
 import contextlib
 import signal
 import threading
+import time
 from pathlib import Path
 
 from tests.support.http import HttpConnection, HttpMessage, class_request, http_response
@@ -104,3 +105,29 @@
         assert last["disconnected"] == 0
         assert last["received"] == len(statuses)
         assert set(statuses) == {200}
+
+
+def test_a_response_that_is_being_streamed_at_sigterm_is_written_completely(tmp_path: Path) -> None:
+    """Guards against long responses that were cut off, although nobody had ended the process."""
+    size = 400_000
+    has_begun = threading.Event()
+
+    def send_slowly(_request: HttpMessage, connection: HttpConnection) -> bytes:
+        response = http_response(bytes(size))
+        connection.sock.sendall(response[:200_000])
+        has_begun.set()
+        for start in range(200_000, len(response), 5_000):
+            time.sleep(0.1)  # 4 s in all, where the longest timeout of a class is 2 s
+            connection.sock.sendall(response[start : start + 5_000])
+        return b""
+
+    with Deployment(tmp_path, UpstreamServer("a", send_slowly)) as sidecar:
+        assert sidecar.process is not None
+        connection = sidecar.connect()
+        connection.sock.sendall(class_request())
+        assert has_begun.wait(20)
+        sidecar.process.send_signal(signal.SIGTERM)
+        reply = connection.read()
+        assert reply
+        assert len(reply.body) == size
+        assert sidecar.process.wait(20) == 0
