A response without a length that is written slowly is streamed before its deadline

What callers saw: a 503 at the deadline in place of a response whose upstream was still sending it.

Cause: a response that declares no length was held back until it was complete or had 64 KiB, under its attempt's deadline.

Change: it is streamed after a second, or after half of the time that is left.

Test: tests/server/test_long_responses.py, failed before.

--- a/linetrack/server/attempt_runner.py
+++ b/linetrack/server/attempt_runner.py
@@ -36,6 +36,9 @@
 log = structlog.get_logger()
 
 STREAM_STALL_TIMEOUT_SECONDS = 5.0  # without a byte from the upstream, until a streamed response is aborted
+#: The time for which a response that declares no length is held back to see whether it is complete, as until
+#: then the request can be retried.  Half of the time that is left to the request, if that is less.
+MAX_HOLD_US = SECOND
 #: The statuses that mean overload if a header of the response says that the request was not processed.
 OVERLOAD_STATUSES = (statuses.SERVICE_UNAVAILABLE, statuses.GATEWAY_TIMEOUT)
 
@@ -140,7 +143,8 @@
             return
         self.attempt.is_written = True
         self.runner.metrics.attempts_sent += 1
-        response = connection.read_response(self.pool.dial_timeout / SECOND, self._reserve_memory)
+        hold_us = min(MAX_HOLD_US, (self.attempt.deadline - clock()) // 2)
+        response = connection.read_response(self.pool.dial_timeout / SECOND, self._reserve_memory, hold_us)
         seen_at = clock()
         if response is None:
             self._finish(Outcome.RESET, seen_at=seen_at)
--- a/linetrack/server/connection.py
+++ b/linetrack/server/connection.py
@@ -10,6 +10,7 @@
 from gevent import socket
 
 from linetrack.server import sockets
+from linetrack.server.clock import NEVER, clock
 from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.responses import Response, ResponseReader
@@ -68,7 +69,9 @@
         """Write all of the data; raises a `TimeoutError` if that takes longer, with a part of it written."""
         sockets.write_within(self.sock, data, seconds)
 
-    def read_response(self, stall_timeout: float, on_large_body: Callable[[int], None]) -> Response | None:
+    def read_response(
+        self, stall_timeout: float, on_large_body: Callable[[int], None], hold_us: int = NEVER
+    ) -> Response | None:
         """Wait until the response is complete or, if its body is too long to be buffered, has begun.
 
         Without the stall timeout, a response that has begun and then stalls would occupy the connection and
@@ -78,6 +81,8 @@
             stall_timeout: Seconds without a byte after which a response that has begun is given up.
             on_large_body: Called once with the expected size of the body, if the body does not arrive
                 together with its head.
+            hold_us: The time in microseconds after which a response that declares no length is treated as one
+                that is too long: nobody knows how long the rest takes.
 
         Returns:
             The response, or None if the connection ended first.
@@ -91,10 +96,12 @@
         data = self.sock.recv(sockets.READ_SIZE)
         response = reader.feed(data) if data else reader.feed_eof()
         if response is None and data and not reader.exceeds_body_buffer:
-            response = self._read_rest(stall_timeout, on_large_body)
+            response = self._read_rest(stall_timeout, on_large_body, clock() + hold_us)
         return response or (reader.response if reader.exceeds_body_buffer else None)
 
-    def _read_rest(self, stall_timeout: float, on_large_body: Callable[[int], None]) -> Response | None:
+    def _read_rest(
+        self, stall_timeout: float, on_large_body: Callable[[int], None], hold_until: int
+    ) -> Response | None:
         """Read until the response is complete or exceeds the buffer, or the connection ends."""
         reader = self.reader
         response: Response | None = None
@@ -113,5 +120,7 @@
                 raise StalledError(stall_timeout) from None
             has_more = bool(data)
             response = reader.feed(data) if data else reader.feed_eof()
+            if response is None and has_more and clock() >= hold_until:
+                reader.stop_buffering()
         self.sock.settimeout(None)
         return response
--- a/linetrack/server/http1/responses.py
+++ b/linetrack/server/http1/responses.py
@@ -126,6 +126,12 @@
     def _ends_with_connection(self) -> bool:
         return not self.content_lengths and TRANSFER_ENCODING.key not in self.headers
 
+    def stop_buffering(self) -> None:
+        """Treat a successful response that has begun, and declares no length, as one that is too long."""
+        response = self.response
+        if response is not None and response.status == OK and not self.content_lengths and self.body_size:
+            self.exceeds_body_buffer = True
+
     def start_next_response(self) -> None:
         """Discard the completed response, as the connection is reused for another request."""
         self.response = None
--- a/tests/server/test_long_responses.py
+++ b/tests/server/test_long_responses.py
@@ -152,3 +152,23 @@
         theirs.sendall(http_response(b"one") + chunked_response(b"two") + http_response(b"three"))
         ours.settimeout(5)
         assert [read_response(ours)[1] for _ in range(3)] == [b"one", b"two", b"three"]
+
+
+def test_a_response_without_a_length_that_is_written_slowly_is_not_cut_off(tmp_path: Path) -> None:
+    """Guards against a response that was held back until it exceeded the buffer, beyond the deadline."""
+
+    def script(_message: HttpMessage, wire: HttpConnection) -> bytes:
+        wire.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(30):
+            wire.sock.sendall(b"%x\r\n%b\r\n" % (2000, bytes(2000)))
+            time.sleep(0.1)
+        return b"0\r\n\r\n"
+
+    with Deployment(tmp_path, UpstreamServer("a", script)) as sidecar, sidecar.connect().sock as sock:
+        started_at = time.monotonic()
+        sock.sendall(request_head("look", "1"))
+        sock.recv(1, socket.MSG_PEEK)
+        assert time.monotonic() - started_at < 2.0
+        head, body = read_response(sock)
+        assert head.startswith(b"http/1.1 200")
+        assert body == bytes(60_000)
