An address belongs to the endpoint that started there last

What callers saw: a keyed request ran in two zones, as work for an upstream that had gone reached another one at its address.

Cause: endpoints were known by id alone, and one that moved or started again kept its object in the pool, so that attempts decided for the earlier process were still sent.

Change: of endpoints with one address the one with the later start stays, or the one that is new in the update; the others are removed. A process that moved or started again gets a new object in the pool.

The default entries of test lists shared one address by accident; each has its own now, and no assertion was changed.

--- a/linetrack/server/discovery_client.py
+++ b/linetrack/server/discovery_client.py
@@ -18,6 +18,7 @@
 from linetrack.errors import LinetrackError
 from linetrack.policy.events import EndpointEntry, EndpointListUpdate, ListForm
 from linetrack.policy.settings import Settings
+from linetrack.server.address_owners import remove_superseded
 from linetrack.server.clock import clock
 from linetrack.server.connection import Connection, StalledError
 from linetrack.server.endpoint_list import (
@@ -234,8 +235,10 @@
 
     def _publish(self, records: EndpointRecords, form: ListForm) -> None:
         received_at = clock()
-        self.upstreams.update_endpoints(records.endpoints, form is not ListForm.DELTA)
-        entries = tuple(self._to_entry(record) for record in records.endpoints)
+        is_snapshot = form is not ListForm.DELTA
+        endpoints = remove_superseded(records.endpoints, self.upstreams.records(), is_snapshot)
+        self.upstreams.update_endpoints(endpoints, is_snapshot)
+        entries = tuple(self._to_entry(record) for record in endpoints)
         self.publish(EndpointListUpdate(form, entries), received_at)
 
     def _to_entry(self, record: EndpointRecord) -> EndpointEntry:
--- a/linetrack/server/upstream_pool.py
+++ b/linetrack/server/upstream_pool.py
@@ -91,12 +91,15 @@
         if record.status is EndpointStatus.REMOVED:
             self._remove_endpoint(record.name)
             return
+        if upstream is not None and _is_another_process(record, upstream.record):
+            # Attempts that began with the earlier process end with it.
+            self._remove_endpoint(record.name)
+            upstream = None
         if upstream is None:
             self.endpoints[record.name] = PooledUpstream(record.address, record.status, [], record)
             return
-        if record.address != upstream.address or record.status is not EndpointStatus.UP:
+        if record.status is not EndpointStatus.UP:
             self._close_idle(upstream)
-        upstream.address = record.address
         upstream.status = record.status
         upstream.record = record
 
@@ -213,3 +216,8 @@
             expired = [item for item in self._idle_connections.items() if item[0].idle_until < now]
             for connection, upstream in expired:
                 self._close_one_idle(connection, upstream)
+
+
+def _is_another_process(record: EndpointRecord, earlier: EndpointRecord) -> bool:
+    """Return whether an endpoint has moved or was started again."""
+    return record.address != earlier.address or record.started_at_ms > earlier.started_at_ms
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -8,12 +8,15 @@
 import os
 import socket
 import threading
+import zlib
 from collections.abc import Callable
 from typing import Any
 
 from tests.support.http import HttpConnection, HttpMessage, http_response
 from tests.support.waiting import TIMEOUT_SECONDS
 
+MAX_UNUSED_PORT = 1000  # nothing listens at these ports on loopback
+
 _host_numbers = itertools.cycle(range(1, 251))
 
 
@@ -64,9 +67,10 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
-def endpoint_entry(name: str, addr: str = "127.0.0.1:9", **changes: Any) -> dict[str, Any]:
-    """Return an endpoint as discovery lists it."""
-    defaults = {"id": name, "addr": addr, "zone": "north", "kind": "plain", "cell": 1}
+def endpoint_entry(name: str, addr: str = "", **changes: Any) -> dict[str, Any]:
+    """Return an endpoint as discovery lists it, by default at an address of its own."""
+    own_address = f"127.0.0.1:{1 + zlib.crc32(name.encode()) % MAX_UNUSED_PORT}"
+    defaults = {"id": name, "addr": addr or own_address, "zone": "north", "kind": "plain", "cell": 1}
     return {**defaults, "state": "SERVING", "weight": 1.0, "started_ms": 0, **changes}
 
 
