--- a/linetrack/policy/endpoint.py
+++ b/linetrack/policy/endpoint.py
@@ -11,7 +11,7 @@
 
 from linetrack.policy.decaying_average import DecayingAverage
 from linetrack.policy.events import EndpointEntry, EndpointStatus
-from linetrack.policy.settings import Settings
+from linetrack.policy.settings import RequestClass, Settings
 from linetrack.policy.time_units import SECOND
 
 ESTIMATE_LIFETIME = SECOND  # time until the estimate for an idle endpoint is recomputed
@@ -67,13 +67,15 @@
         "is_hedge",
         "number",
         "opens_connection",
+        "request_class",
         "sent_at",
     )
 
     def __init__(self, number: int, class_index: int, endpoint: Endpoint, is_hedge: bool, now: int) -> None:
         """Capture the state of the endpoint's connections before this attempt is in flight."""
         self.number = number
-        self.class_index = class_index
+        self.class_index = class_index  # in the settings of the instance that sent it
+        self.request_class: RequestClass | None = None  # the class itself, set when the attempt is sent
         self.endpoint = endpoint
         self.is_hedge = is_hedge
         self.sent_at = now
--- a/linetrack/policy/latency_model.py
+++ b/linetrack/policy/latency_model.py
@@ -158,11 +158,18 @@
             # a hung endpoint must not keep a low penalty: its longest unanswered wait is a lower bound
             for attempt in in_flight.values():
                 is_overtaken = attempt.sent_at < endpoint.last_success_sent_at
-                if not is_overtaken and not self._classes.is_failing(now, attempt.class_index):
+                if not is_overtaken and not self._is_failing(now, attempt):
                     excess_wait = now - attempt.sent_at - 2 * attempt.expected_latency
                     return max(expected, excess_wait + expected)
         return expected
 
+    def _is_failing(self, now: int, attempt: Attempt) -> bool:
+        """Return whether the attempt's class is failing; of another instance's attempts it is not known."""
+        classes = self._settings.classes
+        index = attempt.class_index
+        is_own = index < len(classes) and classes[index] is attempt.request_class
+        return is_own and self._classes.is_failing(now, index)
+
     def predict(self, now: int, attempt: Attempt) -> None:
         """Set the attempt's expected latency and backlog, before it is in flight."""
         cost = self.class_cost(now, attempt.class_index)
--- a/linetrack/policy/outlier_detection.py
+++ b/linetrack/policy/outlier_detection.py
@@ -68,7 +68,7 @@
         is_idempotent = request.request_class.idempotency is not Idempotency.NON_IDEMPOTENT
         may_try = is_idempotent or endpoint.last_success_sent_at > until
         return may_try and all(
-            attempt.class_index != request.class_index for attempt in endpoint.in_flight.values()
+            attempt.request_class is not request.request_class for attempt in endpoint.in_flight.values()
         )
 
     def is_unavailable(self, now: int, endpoint: Endpoint) -> bool:
--- a/linetrack/policy/send_guard.py
+++ b/linetrack/policy/send_guard.py
@@ -96,6 +96,7 @@
         if scope is None or not self.permits(now, request, scope, endpoint):
             return None
         attempt = Attempt(request.attempt_count, request.class_index, endpoint, bool(request.in_flight), now)
+        attempt.request_class = request.request_class
         if self._idle_connections.is_expired(now, attempt):
             # a request sent on a dropped connection is lost, but has to count as possibly executed
             self._actions.append(CloseIdleConnections(endpoint.name))
--- a/tests/control/test_settings_switch.py
+++ b/tests/control/test_settings_switch.py
@@ -23,7 +23,7 @@
     ResponseStarted,
     TimerFired,
 )
-from tests.helpers import IDEMPOTENT, MS, SECOND, listed_entries, sends, settings
+from tests.helpers import CLASSES, IDEMPOTENT, MS, SECOND, Driver, listed_entries, sends, settings
 
 NOW = 1000 * SECOND
 
@@ -119,3 +119,44 @@
 
 def test_every_kind_of_event_has_a_route() -> None:
     assert {type(event) for event, _ in ROUTES} == set(get_args(Event))
+
+
+def respond(driver: Driver, class_index: int, latency: int) -> None:
+    """Run one request, unless it is rejected, whose first attempt gets a response after `latency`."""
+    request, actions = driver.start_request(class_index)
+    for endpoint in sends(actions)[:1]:
+        driver.end(request, endpoint, latency=latency)
+
+
+def make_class_fail(driver: Driver, class_index: int) -> None:
+    """Let responses of one class be late while those of class 0 are not."""
+    for _ in range(5):
+        respond(driver, class_index, 1900 * MS)
+        respond(driver, 0, 10 * MS)
+    assert driver.balancer.models.classes.is_failing(driver.now, class_index)
+
+
+@pytest.mark.parametrize("dropped_class", range(2, len(CLASSES)))
+def test_attempts_of_a_class_that_was_dropped_do_not_end_the_instance_after_a_switch(
+    dropped_class: int,
+) -> None:
+    """Guards against review/1: the index of a dropped class was looked up among fewer classes."""
+    driver = Driver(slow_start_duration=0)
+    for _ in range(20):
+        driver.start_request(dropped_class)  # in flight at any endpoint
+    driver.switch_settings(classes=CLASSES[:2], slow_start_duration=0)
+    make_class_fail(driver, 1)
+    driver.start_request(0)
+
+
+def test_attempts_of_a_class_that_was_added_do_not_end_the_instance_before_a_switch() -> None:
+    """Guards against the same fault in the instance that drains, whose classes are fewer."""
+    driver = Driver(classes=CLASSES[:2], slow_start_duration=0)
+    make_class_fail(driver, 1)
+    request, actions = driver.start_request(0)
+    (first,) = sends(actions)
+    predecessor = driver.balancer
+    driver.switch_settings(slow_start_duration=0)
+    for _ in range(20):
+        driver.start_request(len(CLASSES) - 1)
+    assert predecessor.handle(driver.now, AttemptEnded(request, 0, first, Outcome.NOT_SENT, 10 * MS))
