--- a/linetrack/server/config.py
+++ b/linetrack/server/config.py
@@ -9,7 +9,7 @@
 import json
 import resource
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from linetrack.control.settings_digest import settings_digest
@@ -42,20 +42,15 @@
     "retry_after_in_whole_seconds": "storms.wholeSeconds",
 }
 
+MISSING_KEY_REASON = "is missing, but the running configuration has it"
+
 #: Keys that a reloaded file must have if the running configuration has them, grouped by the object that holds
 #: them.  Keys that enable a feature are left out, so that an older file can replace a newer one; so are the
-#: keys of `RESTART_KEYS`, except `name` and `listen`.
+#: keys of `RESTART_KEYS`, except `name` and `listen`.  All keys of `settings.rules` are permanent, as
+#: without one of them a rule would be wider.
 PERMANENT_KEYS: dict[str, tuple[str, ...]] = {
     "": ("name", "listen", "discovery", "limits", "settings"),
     "settings": ("classes", "azs", "zone", "me", "balancers", "registryMode", "rules", "stats", "allowed"),
-    "settings.rules": (
-        "askEveryUs",
-        "drainGraceUs",
-        "coldFrom",
-        "warmUpUs",
-        "fallMultiple",
-        "overloadForUs",
-    ),
     "settings.allowed": (
         "maxAttempts",
         "mayCancel",
@@ -109,7 +104,10 @@
     keep_alive_timeout: int
     overload_control_enabled: bool  # damp retry storms and remember the keys of callers' own retries
     retry_after_in_whole_seconds: bool
-    permanent_keys: frozenset[str] = frozenset()  # the PERMANENT_KEYS and PERMANENT_CLASS_KEYS in the file
+    #: The keys in the file that a reloaded file must have, too.
+    permanent_keys: frozenset[str] = frozenset()
+    #: The keys of each request class by name and effect: a class whose effect changes may change its keys.
+    class_keys: Mapping[tuple[str, str], frozenset[str]] = field(default_factory=dict)
 
     def keys_needing_restart(self, new: Config) -> list[str]:
         """Return the keys that differ in a new configuration and that only a restart can change."""
@@ -129,7 +127,11 @@
                 otherwise take effect with defaults.
         """
         if missing := running.permanent_keys - self.permanent_keys:
-            raise ConfigError(min(missing), "is missing, but the running configuration has it")
+            raise ConfigError(min(missing), MISSING_KEY_REASON)
+        for index, (class_name, effect) in enumerate(self.class_keys):
+            has_keys = self.class_keys[class_name, effect]
+            if missing := running.class_keys.get((class_name, effect), frozenset()) - has_keys:
+                raise ConfigError(f"settings.classes.{index}.{min(missing)}", MISSING_KEY_REASON)
         zone_names = _append_new_names(running.zone_names, self.zone_names)
         zone = self.settings.zone
         if zone < len(self.zone_names):
@@ -151,6 +153,7 @@
             seed=other.seed,
             initial_endpoints=other.initial_endpoints,
             permanent_keys=other.permanent_keys,
+            class_keys=other.class_keys,
         )
         return same == other
 
@@ -245,6 +248,7 @@
         overload_control_enabled=root.child("storms").boolean("damp"),
         retry_after_in_whole_seconds=root.child("storms").boolean("wholeSeconds"),
         permanent_keys=_permanent_keys(root),
+        class_keys=_class_keys(root),
     )
 
 
@@ -313,6 +317,8 @@
         for name in path.split(".") if path else ():
             node = node.child(name)
         found |= {node.path_of(name) for name in names if name in node.values}
+    rules = root.child("settings").child("rules")
+    found |= {rules.path_of(name) for name in rules.values}
     classes = root.child("settings").children("classes")
     found |= {
         f"settings.classes.*.{name}"
@@ -322,6 +328,11 @@
     return frozenset(found)
 
 
+def _class_keys(root: SettingsNode) -> dict[tuple[str, str], frozenset[str]]:
+    classes = root.child("settings").children("classes")
+    return {(node.text("name", ""), node.text("repeat", "")): frozenset(node.values) for node in classes}
+
+
 def _append_new_names(old: tuple[str, ...], new: tuple[str, ...]) -> tuple[str, ...]:
     """Return the old names in their order, followed by those that are new."""
     return old + tuple(name for name in new if name not in old)
--- a/tests/server/test_config.py
+++ b/tests/server/test_config.py
@@ -170,8 +170,6 @@
     "how",
     "fields",
     "cores",
-    "dedupScope",
-    "dedupWindowUs",
 }
 PERMANENT = [path for path in paths(platform_values()) if path[-1] not in OPTIONAL and path[0] != "known"]
 
@@ -190,6 +188,25 @@
     assert raised.value.value is None
 
 
+@pytest.mark.parametrize("key", ["dedupScope", "dedupWindowUs"])
+def test_a_class_may_lack_the_keys_of_an_effect_that_it_no_longer_has(tmp_path: Path, key: str) -> None:
+    """Beside review/2, where a file short of `dedupScope` let repeats run in all zones."""
+    values = platform_values()
+    index = [each["repeat"] for each in values["settings"]["classes"]].index("guarded")
+    values["settings"]["classes"][index]["repeat"] = "free"
+    del values["settings"]["classes"][index][key]
+    running = read(tmp_path, platform_values())
+    assert read(tmp_path, values).for_reload_of(running).settings.classes
+
+
+def test_a_file_short_of_a_limit_of_retries_is_rejected_at_a_reload(tmp_path: Path) -> None:
+    limited = platform_values()
+    limited["settings"]["rules"] |= {"freeResends": 2, "furtherRatio": 0.1, "extraWindowUs": 2 * SECOND}
+    running = read(tmp_path, limited)
+    with pytest.raises(ConfigError, match=r"settings\.rules"):
+        read(tmp_path, platform_values()).for_reload_of(running)
+
+
 def test_an_older_file_may_lack_the_features_that_a_newer_one_enabled(tmp_path: Path) -> None:
     newer = platform_values()
     newer["settings"] |= {"weights": "live", "customers": [{"quotaRps": 5}]}
