The ids of finished requests are kept for 15 to 30 s, and their number is bounded

What callers saw: an id that came again 5 s after its client had left ran a second time.

Cause: ids were kept for one to two times the time that a client has for sending a request, 2.25 s, which says nothing of how long a copy may still come.

Change: two generations of 15 s, of 16,384 ids at most; the number had no bound before.

--- a/linetrack/server/listener.py
+++ b/linetrack/server/listener.py
@@ -16,7 +16,7 @@
 
 from linetrack.control.connection_slots import ConnectionSlot, ConnectionSlots, SlotState
 from linetrack.policy.time_units import SECOND
-from linetrack.server import client_timeouts
+from linetrack.server import recent_request_ids
 from linetrack.server.budget import Budget
 from linetrack.server.client_connection import ClientConnection, ConnectionMigratedError
 from linetrack.server.clock import NEVER, clock
@@ -142,8 +142,7 @@
             gevent.sleep(SWEEP_INTERVAL_SECONDS)
             self.close_expired(clock())
             sweeps_since_discard += 1
-            elapsed = sweeps_since_discard * SWEEP_INTERVAL_SECONDS * SECOND
-            if elapsed >= client_timeouts.REQUEST_TIMEOUT_US:
+            if sweeps_since_discard * SWEEP_INTERVAL_SECONDS >= recent_request_ids.GENERATION_SECONDS:
                 sweeps_since_discard = 0
                 self.validator.recent_ids.forget_older()
 
--- a/linetrack/server/recent_request_ids.py
+++ b/linetrack/server/recent_request_ids.py
@@ -10,12 +10,17 @@
 from hashlib import blake2b
 
 MAX_STORED_ID_LENGTH = 128  # in characters; of a longer identifier, a digest is stored
+# Identifiers of finished requests are kept for one to two of these times, or until there are too many for a
+# generation.
+GENERATION_SECONDS = 15.0
+MAX_GENERATION_SIZE = 16_384
 
 
 class RecentRequestIds:
     """The identifiers of open and of recently finished requests.
 
-    Those of finished requests are kept in two generations; `forget_older` discards the older generation.
+    Those of finished requests are kept in two generations of bounded size; `forget_older` discards the older
+    one.
     """
 
     def __init__(self) -> None:
@@ -39,6 +44,8 @@
         stored = _stored_form(request_id)
         self._open.discard(stored)
         self._finished.add(stored)
+        if len(self._finished) >= MAX_GENERATION_SIZE:
+            self.forget_older()
 
     def forget_older(self) -> None:
         """Discard the identifiers of requests that had finished before the previous call."""
