Each process of a hot restart tells the other the ids that it accepts

Cause: the ids were handed over once; what either process accepted afterwards was unknown to the other.

Change: a message RequestAccepted, both ways, from the handover until the channel ends. Builds without it ignore it.

Tests: tests/server/test_hot_restart.py, either process first; [200, 200] before, one 409 after.

--- a/linetrack/server/hot_restart.py
+++ b/linetrack/server/hot_restart.py
@@ -24,11 +24,18 @@
 from linetrack.server.endpoint_list import EndpointRecords, encode_snapshot, parse_endpoint_list
 from linetrack.server.greenlets import spawn_essential
 from linetrack.server.hot_restart_channel import GrantedListener, HotRestartChannel, socket_path
-from linetrack.server.hot_restart_messages import ClientHandover, Grant, Handover, HotRestartMessage
+from linetrack.server.hot_restart_messages import (
+    ClientHandover,
+    Grant,
+    Handover,
+    HotRestartMessage,
+    RequestAccepted,
+)
 from linetrack.server.hot_restart_predecessor import Predecessor
 from linetrack.server.hot_restart_successor import Successor
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.listener import Listener
+from linetrack.server.recent_request_ids import RecentRequestIds
 from linetrack.server.upstream_pool import UpstreamPool
 
 log = structlog.get_logger()
@@ -75,7 +82,9 @@
         if path is None:
             self._listener.listen(config.listen)
             return config.initial_endpoints
-        self._predecessor_role = Predecessor(path, self._identity, self._grant_listener, self.execute)
+        self._predecessor_role = Predecessor(
+            path, self._identity, self._grant_listener, self.execute, self._on_accepted_elsewhere
+        )
         successor = Successor(path, self._identity(), self.execute, self._on_message)
         while (granted := successor.connect()) is None:
             if successor.found_foreign_process:
@@ -178,10 +187,31 @@
                     self._listener.adopt(descriptor, message.response_count)
             case Handover():
                 self._restore_state(message)
+            case RequestAccepted():
+                self._on_accepted_elsewhere(message)
+
+    def _on_accepted_elsewhere(self, message: HotRestartMessage) -> None:
+        """Do not accept a request any more that the other process has accepted."""
+        if isinstance(message, RequestAccepted):
+            self._recent_ids.restore([message.request_id])
+
+    def _announce_accepted(self, channel: HotRestartChannel) -> None:
+        """From now on, report each request that is accepted to the other process, until the channel ends."""
+
+        def send(request_id: str) -> None:
+            if not channel.send(RequestAccepted(request_id)):
+                self._recent_ids.stop_announcing()
+
+        # In a greenlet of its own, as the channel may have to wait for the other process.
+        self._recent_ids.on_added = partial(gevent.spawn, send)
+
+    @property
+    def _recent_ids(self) -> RecentRequestIds:
+        return self._listener.validator.recent_ids
 
     def _restore_state(self, handover: Handover) -> None:
         self._budget.share_with_other_process(handover.socket_limit)
-        self._listener.validator.recent_ids.restore(handover.request_ids)
+        self._recent_ids.restore(handover.request_ids)
         # Under other settings a class or zone may have another index, so values stored by index are left out.
         same_settings = handover.settings_digest == self._current_config().digest
         self._has_restored_policy = self._policy_switch.restore(
@@ -206,6 +236,7 @@
             case Command.START_ACCEPTING:
                 self._take_over()
             case Command.TAKE_ALL_LIMITS:
+                self._recent_ids.stop_announcing()
                 self._budget.restore()
             case Command.HAND_OVER:
                 self._hand_over()
@@ -217,6 +248,8 @@
             self._policy_switch.resume(clock())
         self._open_socket()
         self._publish_socket()
+        if self._successor_role is not None and self._successor_role.channel is not None:
+            self._announce_accepted(self._successor_role.channel)
         self.start_accepting()
 
     def _hand_over(self) -> None:
@@ -231,9 +264,10 @@
         if not self._is_handing_over():
             return
         self._upstreams.close_all_idle()
+        self._announce_accepted(channel)
         handover = Handover(
             socket_limit=self._budget.descriptors.yield_to_successor(),
-            request_ids=self._listener.validator.recent_ids.export(),
+            request_ids=self._recent_ids.export(),
             policy_snapshot=self._policy_switch.hand_over(),
             settings_digest=self._current_config().digest,
         )
@@ -252,6 +286,7 @@
         """Serve again until this process ends, because its successor has ended."""
         # Restored first, so that there are descriptors for the clients that connect again.
         self._budget.restore()
+        self._recent_ids.stop_announcing()
         self._policy_switch.resume(clock())
         self._listener.migrate = None
         self.start_accepting()
--- a/linetrack/server/hot_restart_messages.py
+++ b/linetrack/server/hot_restart_messages.py
@@ -31,6 +31,7 @@
 ENDPOINT_LIST_KEY = "list"
 DISCOVERY_ADDRESS_KEY = "discovery"
 SOCKET_LIMIT_KEY = "sockets"
+REQUEST_ID_KEY = "id"
 REQUEST_IDS_KEY = "ids"
 POLICY_SNAPSHOT_KEY = "learnt"
 RESPONSE_COUNT_KEY = "answers"
@@ -202,6 +203,24 @@
         return cls(values[RESPONSE_COUNT_KEY])
 
 
+@dataclass(slots=True, frozen=True)
+class RequestAccepted(HotRestartMessage):
+    """The sender has accepted a request, whose id the receiver must not accept any more."""
+
+    name: ClassVar[str] = "accepted"
+
+    request_id: str
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the message's values under their keys."""
+        return {REQUEST_ID_KEY: self.request_id}
+
+    @classmethod
+    def from_json(cls, values: Mapping[str, Any]) -> Self:
+        """Return the message with these values; raises KeyError if one is missing."""
+        return cls(values[REQUEST_ID_KEY])
+
+
 class UnknownMessage(HotRestartMessage):
     """A message of a later build, which the receiver ignores."""
 
@@ -226,6 +245,7 @@
         Heartbeat,
         Handover,
         ClientHandover,
+        RequestAccepted,
     )
 }
 
--- a/linetrack/server/hot_restart_predecessor.py
+++ b/linetrack/server/hot_restart_predecessor.py
@@ -48,6 +48,10 @@
 }
 
 
+def _ignore_message(_message: HotRestartMessage) -> None:
+    """Do nothing with a message."""
+
+
 class Predecessor:
     """The serving side: grants the listening socket to a successor, and hands over to it at shutdown."""
 
@@ -57,6 +61,7 @@
         identity: Callable[[], Identity],
         grant_listener: Callable[[], GrantedListener],
         execute: Callable[[Command], None],
+        on_message: Callable[[HotRestartMessage], None] = _ignore_message,
     ) -> None:
         """Create a predecessor that successors find at `path` once its socket is published.
 
@@ -66,8 +71,10 @@
             grant_listener: returns the listening socket and the message that is sent to a successor with it.
             execute: executes the commands that concern the rest of the program (HAND_OVER, RESUME and
                 SHUT_DOWN).
+            on_message: called with each message of the successor that is not about the order of the steps.
         """
         self._path = path
+        self._on_message = on_message
         self._private_path = path.with_suffix(f".{os.getpid()}")
         self._identity = identity
         self._grant_listener = grant_listener
@@ -173,6 +180,8 @@
             if isinstance(received.message, Ready):
                 log.info("hot_restart_ready")
                 self._execute_all(self._state_machine.on_ready())
+            else:
+                self._on_message(received.message)
 
     def _execute_all(self, commands: list[Command]) -> None:
         for command in commands:
--- a/linetrack/server/recent_request_ids.py
+++ b/linetrack/server/recent_request_ids.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from hashlib import blake2b
 
 MAX_STORED_ID_LENGTH = 128  # in characters; of a longer identifier, a digest is stored
@@ -25,6 +25,9 @@
 
     def __init__(self) -> None:
         self._open: set[str] = set()
+        self.on_added: Callable[[str], object] = (
+            _ignore  # called with the stored form of each open identifier
+        )
         self._finished: set[str] = set()
         self._finished_earlier: set[str] = set()
 
@@ -37,7 +40,9 @@
 
     def add(self, request_id: str) -> None:
         """Add the identifier of a request that is now open."""
-        self._open.add(_stored_form(request_id))
+        stored = _stored_form(request_id)
+        self._open.add(stored)
+        self.on_added(stored)
 
     def finish(self, request_id: str) -> None:
         """Mark a request as finished; its identifier is kept until the second call of `forget_older`."""
@@ -52,6 +57,10 @@
         self._finished_earlier = self._finished
         self._finished = set()
 
+    def stop_announcing(self) -> None:
+        """Report no more identifiers, as there is no other process."""
+        self.on_added = _ignore
+
     def export(self) -> list[str]:
         """Return all identifiers in their stored form, for the process that replaces this one."""
         return [*self._open, *self._finished, *self._finished_earlier]
@@ -61,6 +70,10 @@
         self._finished.update(stored_ids)
 
 
+def _ignore(_stored_id: str) -> None:
+    """Do nothing; used where no other process has to know the identifiers."""
+
+
 def _stored_form(request_id: str) -> str:
     """Return the identifier or, to save memory, the digest of a long one."""
     if len(request_id) <= MAX_STORED_ID_LENGTH:
--- a/tests/server/test_hot_restart.py
+++ b/tests/server/test_hot_restart.py
@@ -308,3 +308,38 @@
         assert len(b.seen) == seen_before + 1
     other_discovery.close()
     b.close()
+
+
+@pytest.mark.parametrize("first", ["old", "new"])
+def test_an_id_that_one_process_accepts_after_the_handover_is_rejected_by_the_other(
+    tmp_path: Path, first: str
+) -> None:
+    """Guards against a request that both processes of a hot restart executed."""
+
+    def respond_slowly(_message: HttpMessage, wire: HttpConnection) -> bytes:
+        wire.sock.settimeout(1.0)
+        with contextlib.suppress(OSError):
+            wire.sock.recv(1, socket.MSG_PEEK)
+        return http_response(b"ok")
+
+    data = http_request("/pay/k", "POST", "X-Trace-Id: same", "X-Expires-In: 2.0", body=b"body")
+    with RestartableDeployment(tmp_path, server := UpstreamServer("a", respond_slowly)) as restartable:
+        in_old = restartable.predecessor.connect()
+        in_old.sock.sendall(data[:-1])
+        successor = restartable.start_successor()
+        assert restartable.predecessor.process
+        restartable.predecessor.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: "hot_restart_handover_received" in successor.log())
+        in_new = successor.connect()
+        if first == "old":
+            in_old.sock.sendall(data[-1:])
+            wait_until(lambda: server.seen)
+            in_new.sock.sendall(data)
+        else:
+            in_new.sock.sendall(data)
+            wait_until(lambda: server.seen)
+            in_old.sock.sendall(data[-1:])
+        replies = [in_old.read(), in_new.read()]
+        statuses = [reply.status for reply in replies if reply]
+        assert statuses == ([200, 409] if first == "old" else [409, 200])
+        assert len(server.seen) == 1
