Load generator: the rates of a shape are never below 0 by rounding

Cause: a rate was the first one and a part of the difference to the last; at the last step down to 0 their sum was -3.55e-15, whose square root is not a number.

Change: a weighted mean of both rates, which cannot leave their range.

--- a/linetrack/load/schedule.py
+++ b/linetrack/load/schedule.py
@@ -57,17 +57,18 @@
 
 def _shape_rates(shape: LoadShape, progress: NDArray[np.float64]) -> NDArray[np.float64]:
     """Return the rates of a shape at each progress, the elapsed fraction of its duration from 0 to 1."""
-    rise = shape.end_rate - shape.rate
     match shape.kind:
         case ShapeKind.RAMP:
-            return shape.rate + rise * progress
+            fraction = progress
         case ShapeKind.EVENING:
-            return shape.rate + rise * np.sin(np.pi * progress) ** 2
+            fraction = np.sin(np.pi * progress) ** 2
         case ShapeKind.STEPS:
             step = np.minimum(np.floor(progress * shape.steps), shape.steps - 1)
-            return shape.rate + rise * step / max(shape.steps - 1, 1)
+            fraction = step / max(shape.steps - 1, 1)
         case _:
-            return np.full(len(progress), shape.rate)
+            fraction = np.zeros(len(progress))
+    # Not the first rate and a part of the difference, whose sum may be below 0 by rounding.
+    return shape.rate * (1 - fraction) + shape.end_rate * fraction
 
 
 def arrival_times(load: Load, length: int, generator: np.random.Generator) -> NDArray[np.int64]:
