--- a/linetrack/server/client_connection.py
+++ b/linetrack/server/client_connection.py
@@ -18,7 +18,6 @@
 from linetrack.policy.events import RequestReceived
 from linetrack.server import client_timeouts
 from linetrack.server.active_request import FinalResponse
-from linetrack.server.client_timeouts import body_timeout
 from linetrack.server.clock import NEVER, clock
 from linetrack.server.connection_host import ConnectionHost
 from linetrack.server.greenlets import yield_to_event_loop
@@ -30,6 +29,7 @@
 from linetrack.server.memory_budget import SMALL_BODY_BYTES
 from linetrack.server.notifications import IncomingRequest
 from linetrack.server.pending_request import PendingRequest
+from linetrack.server.read_ahead import ReadAhead
 from linetrack.server.request_memory import RequestMemory
 from linetrack.server.request_upload import RequestUpload
 from linetrack.server.response_writer import write_response, write_stream
@@ -37,6 +37,7 @@
 
 log = structlog.get_logger()
 
+MIN_WAITING_AGE_US = 10_000  # from which a request counts as one that has waited before it was dispatched
 EVENT_LOOP_READ = 1  # the event loop's constant for "readable"
 
 
@@ -55,6 +56,7 @@
         deadline: When the listener ends the current read or write.
         is_busy: Whether a request is being served.
         memory: The memory reserved for a large request.
+        read_ahead: Bytes that arrived while an earlier request was being served.
         response_count: The number of responses of any kind that were written.
     """
 
@@ -65,6 +67,7 @@
         "is_busy",
         "memory",
         "pending_requests",
+        "read_ahead",
         "reader",
         "received_at",
         "response_count",
@@ -85,6 +88,7 @@
         self.timeout_started_at = now
         self.deadline = now + client_timeouts.REQUEST_TIMEOUT_US
         self.is_busy = False
+        self.read_ahead = ReadAhead(host.budget.memory)
         self.memory = RequestMemory(host, self._is_open)
         self.response_count = 0
         self.greenlet = gevent.Greenlet(self.serve)
@@ -96,9 +100,14 @@
         """Return whether no request is being read or served and no unread bytes have arrived."""
         return self.is_between_requests() and not is_readable(self.sock)
 
+    @property
+    def has_begun_request(self) -> bool:
+        """Whether bytes of a request were read that is not complete or not parsed yet."""
+        return self.reader.has_begun_request or self.read_ahead.size > 0
+
     def is_between_requests(self) -> bool:
         """Return whether no request is pending or being served, and no byte of the next one was read."""
-        return not (self.is_busy or self.pending_requests or self.reader.has_begun_request)
+        return not (self.is_busy or self.pending_requests or self.has_begun_request)
 
     def is_reading_request(self) -> bool:
         """Return whether it waits for the rest of a request."""
@@ -143,6 +152,7 @@
             self.watcher.close()
             self.sock.close()
             self.reader.close()
+            self.read_ahead.discard()
             self.release_memory()
             self.host.on_connection_closed(self)
 
@@ -153,7 +163,7 @@
                     return
                 if not self._serve_request(self.pending_requests.popleft()):
                     return
-                if self.pending_requests or self.reader.has_begun_request:
+                if self.pending_requests or self.has_begun_request:
                     yield_to_event_loop()
             except ConnectionMigratedError:
                 pass  # interrupted while it waited for a request
@@ -198,11 +208,21 @@
         """Wait for more bytes and parse them; return False if the connection has ended."""
         if self.reader.request.expects_continue:
             self.send_continue()
-        data = self.sock.recv(READ_SIZE)
+        data = self.read_next(READ_SIZE)
         if data:
             self.receive(data)
         return bool(data)
 
+    def read_next(self, max_bytes: int) -> bytes:
+        """Return the next bytes, which may have been read before; wait for them if necessary."""
+        segment = self.read_ahead.pop()
+        if segment is not None:
+            self.received_at = segment.received_at
+            return segment.data
+        data: bytes = self.sock.recv(max_bytes)
+        self.received_at = clock()
+        return data
+
     def send_continue(self) -> None:
         """Send a 100 response if the client waits for one before it sends the body."""
         request = self.reader.request
@@ -214,7 +234,6 @@
 
     def receive(self, data: bytes) -> None:
         """Take bytes that have arrived, and parse them as far as the next complete request."""
-        self.received_at = clock()
         self.reader.add(data)
         self._parse()
 
@@ -236,15 +255,12 @@
     def _set_request_deadline(self, was_head_complete: bool) -> None:
         """Set the deadline for the rest of the incomplete request."""
         reader = self.reader
-        if not reader.is_head_complete:
-            self.deadline = self.timeout_started_at + client_timeouts.REQUEST_TIMEOUT_US
-            return
-        last_progress_at = max(self.timeout_started_at, self.received_at)
-        body_deadline = self.timeout_started_at + body_timeout(reader.body_size)
-        self.deadline = min(body_deadline, last_progress_at + client_timeouts.REQUEST_TIMEOUT_US)
-        if not was_head_complete:
-            body_start_deadline = last_progress_at + client_timeouts.BODY_START_TIMEOUT_US
-            self.deadline = max(self.deadline, body_start_deadline)
+        self.deadline = client_timeouts.request_deadline(
+            started_at=self.timeout_started_at,
+            last_read_at=max(self.timeout_started_at, self.received_at),
+            body_bytes=reader.body_size if reader.is_head_complete else None,
+            is_body_due=reader.is_head_complete and not was_head_complete,
+        )
 
     # --- Serving a request -------------------------------------------------------------------------------
     def _serve_request(self, request: ClientRequest) -> bool:
@@ -262,21 +278,37 @@
             self.host.slots.receive_request(self.slot, self.received_at)
             if not self.memory.reserve_for_request(request, self.received_at):
                 return self._respond(request, FinalResponse(statuses.SERVICE_UNAVAILABLE))
+        time_left = self._time_left(request)
+        if time_left is not None and time_left <= 0:
+            self.host.slots.receive_request(self.slot, self.received_at)
+            self.host.validator.count_rejection(request)
+            return self._respond(request, FinalResponse(statuses.SERVICE_UNAVAILABLE))
         event = self.host.validator.accept(request)
         self.host.slots.receive_request(self.slot, self.received_at)
-        response = self._dispatch(request, event)
+        starts_at = self.received_at
+        if time_left is not None:
+            event.timeout = min(event.timeout, time_left)
+            starts_at = clock()
+        response = self._dispatch(request, event, starts_at)
         return response is not None and self._respond(request, response)
 
+    def _time_left(self, request: ClientRequest) -> int | None:
+        """Return the time left to a request that had to wait for its turn; None if it did not."""
+        age = clock() - self.received_at
+        return self.host.validator.effective_timeout(request) - age if age >= MIN_WAITING_AGE_US else None
+
     def _is_open(self) -> bool:
         return bool(self.sock.fileno() >= 0)
 
-    def _dispatch(self, request: ClientRequest, event: RequestReceived) -> FinalResponse | None:
+    def _dispatch(
+        self, request: ClientRequest, event: RequestReceived, starts_at: int
+    ) -> FinalResponse | None:
         """Dispatch the request and return its final response, or None if the client disconnects first."""
         pending = PendingRequest(
             self.host.dispatcher, self.sock, event.request_id, request.keep_alive, self.received_at
         )
         incoming = IncomingRequest(request, event, pending.result.set, pending.is_abandoned)
-        self.host.dispatcher.enqueue(incoming, self.received_at)
+        self.host.dispatcher.enqueue(incoming, starts_at)
         upload = request.body_stream
         if isinstance(upload, RequestUpload):
             # Reading the body detects a disconnect, or the listener if the upstream is slow; after the end
@@ -301,11 +333,13 @@
     def _on_readable(self, pending: PendingRequest) -> None:
         """Handle bytes or a disconnect while a request is pending; called by the event loop.
 
-        If the client has not disconnected, the bytes stay unread and would hide a later disconnect from the
-        watcher, so that the listener checks for it from now on.
+        Bytes that must stay unread would hide a later disconnect from the watcher; from then on the listener
+        checks for it.
         """
-        self.watcher.stop()
-        if not pending.is_abandoned():
+        if pending.is_abandoned():
+            self.watcher.stop()
+        elif not self.read_ahead.receive(self.sock):
+            self.watcher.stop()
             self.host.unread_connections[self] = pending
 
     # --- Writing the response ----------------------------------------------------------------------------
@@ -323,9 +357,10 @@
         """Return whether the connection is kept open after the response."""
         if not request.keep_alive or not request.is_complete:
             return False
-        if self.host.is_closing and not self.pending_requests and not self.reader.has_unparsed_bytes:
+        has_unserved_bytes = self.reader.has_unparsed_bytes or self.read_ahead.size
+        if self.host.is_closing and not self.pending_requests and not has_unserved_bytes:
             return False
-        has_next_request = bool(self.pending_requests) or self.reader.has_begun_request
+        has_next_request = bool(self.pending_requests) or self.has_begun_request
         if self.slot.state is not SlotState.BUSY or has_next_request:
             return True
         # The next request may have arrived already and must not be lost by closing.
@@ -340,10 +375,10 @@
             now = clock()
             self.timeout_started_at = now
             self.deadline = now + client_timeouts.REQUEST_TIMEOUT_US
-            if self.slot.state is SlotState.BUSY and not self.reader.has_begun_request:
+            if self.slot.state is SlotState.BUSY and not self.has_begun_request:
                 self.deadline = NEVER  # `slots` decides how long the idle connection is kept
                 self.host.slots.mark_idle(self.slot, now)
-        elif self.reader.has_begun_request or is_readable(self.sock):
+        elif self.has_begun_request or is_readable(self.sock):
             self._linger()
 
     def _reject(self, status: int) -> None:
@@ -359,6 +394,7 @@
         """Discard what the client still sends, so that it is not parsed as a request."""
         self.is_busy = True
         self.reader.discard_bytes()
+        self.read_ahead.discard()
         self.release_memory()
         is_body_incomplete = self.reader.has_partial_request and self.reader.request.body_stream is not None
         discard_until_close(self, is_body_incomplete)
--- a/linetrack/server/client_timeouts.py
+++ b/linetrack/server/client_timeouts.py
@@ -44,3 +44,18 @@
     then cannot hold its connection forever.
     """
     return REQUEST_TIMEOUT_US + body_bytes * SECOND // MIN_BODY_BYTES_PER_SECOND
+
+
+def request_deadline(started_at: int, last_read_at: int, body_bytes: int | None, is_body_due: bool) -> int:
+    """Return when an incomplete request has stalled.
+
+    Args:
+        started_at: When the time for the request started.
+        last_read_at: When bytes of it were last read.
+        body_bytes: How much of its body has arrived; None if its head is incomplete.
+        is_body_due: Whether its head has just become complete, so that the body still has to begin.
+    """
+    if body_bytes is None:
+        return started_at + REQUEST_TIMEOUT_US
+    deadline = min(started_at + body_timeout(body_bytes), last_read_at + REQUEST_TIMEOUT_US)
+    return max(deadline, last_read_at + BODY_START_TIMEOUT_US) if is_body_due else deadline
--- a/linetrack/server/listener.py
+++ b/linetrack/server/listener.py
@@ -150,7 +150,7 @@
         """Close connections past their deadline or not worth their slot, and detect disconnected clients."""
         expired = [connection for connection in self.connections.values() if connection.deadline <= now]
         for connection in expired:
-            is_reading = connection.is_busy or connection.reader.has_begun_request
+            is_reading = connection.is_busy or connection.has_begun_request
             # A request may have arrived just before the deadline and be unread: that connection is kept.
             if is_reading or not is_readable(connection.sock):
                 connection.expire()
--- a/linetrack/server/request_upload.py
+++ b/linetrack/server/request_upload.py
@@ -12,6 +12,7 @@
 from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.requests import RequestReader
+from linetrack.server.read_ahead import ReadAhead
 from linetrack.server.sockets import is_readable, unread_bytes
 
 #: How many bytes the client's system may hold of what the client has sent.
@@ -27,6 +28,11 @@
     """The client connection from which a body is read."""
 
     reader: RequestReader
+    read_ahead: ReadAhead
+
+    def read_next(self, max_bytes: int) -> bytes:
+        """Return the next bytes of the client; wait for them if necessary."""
+        ...
 
     def receive(self, data: bytes) -> None:
         """Parse bytes that have arrived."""
@@ -112,12 +118,13 @@
 
     def _is_surely_incomplete(self) -> bool:
         sock = self.source.sock
-        if not is_readable(sock):
+        read_ahead_bytes = self.source.read_ahead.size
+        if not read_ahead_bytes and not is_readable(sock):
             return True
         if self.content_length is None:
             return False
         unread_body_bytes = self.content_length - self.source.reader.body_size
-        return unread_body_bytes - unread_bytes(sock) > CLIENT_SEND_BUFFER_BYTES
+        return unread_body_bytes - read_ahead_bytes - unread_bytes(sock) > CLIENT_SEND_BUFFER_BYTES
 
     def _receive(self) -> None:
         """Wait for more bytes, no longer than the rest of the client's time for its body."""
@@ -129,8 +136,8 @@
         self._forwarding_since = NEVER
         if wait_started_at - self._last_incomplete_at >= CHECK_INTERVAL_US:
             self.last_incomplete_at()
-        had_to_wait = not is_readable(source.sock)
-        data = source.sock.recv(self.read_size())
+        had_to_wait = not source.read_ahead.size and not is_readable(source.sock)
+        data = source.read_next(self.read_size())
         source.deadline = NEVER
         now = self._forwarding_since = clock()
         self._waited_us += now - wait_started_at
--- a/tests/server/test_client_disconnect.py
+++ b/tests/server/test_client_disconnect.py
@@ -14,7 +14,7 @@
 
 from linetrack.policy.actions import RejectRequest
 from linetrack.policy.events import Outcome
-from linetrack.server import client_timeouts
+from linetrack.server import client_timeouts, read_ahead
 from linetrack.server.clock import clock
 from tests.server.in_process import InProcessSidecar, wait_in_kernel
 from tests.support.http import class_request, http_request, http_response
@@ -23,16 +23,34 @@
 from tests.support.waiting import run_until
 
 
+def limit_read_ahead(monkeypatch: pytest.MonkeyPatch, may_read_ahead: bool) -> None:
+    """Let bytes that follow a request stay unread, unless they may be read before their turn."""
+    if not may_read_ahead:
+        monkeypatch.setattr(read_ahead, "MAX_READ_AHEAD_BYTES", 0)
+
+
+def has_seen_further_bytes(sidecar: InProcessSidecar, may_read_ahead: bool) -> bool:
+    """Return whether the sidecar has noticed the bytes that follow the request."""
+    connection = sidecar.only_connection()
+    return bool(connection.read_ahead.size if may_read_ahead else sidecar.listener.unread_connections)
+
+
 @pytest.mark.parametrize("has_earlier_attempt", [False, True])
 @pytest.mark.parametrize("unread_bytes", [b"", b"GET /look HTTP/1.1\r\n"])
+@pytest.mark.parametrize("may_read_ahead", [False, True])
 def test_no_attempt_starts_for_a_disconnected_client(
-    sidecar: InProcessSidecar, has_earlier_attempt: bool, unread_bytes: bytes
+    sidecar: InProcessSidecar,
+    monkeypatch: pytest.MonkeyPatch,
+    has_earlier_attempt: bool,
+    unread_bytes: bytes,
+    may_read_ahead: bool,
 ) -> None:
     """Neither a first attempt nor a retry may start.
 
     The notification of the disconnect may still be queued, or the disconnect may be hidden by unread bytes
     that the client sent after its request.
     """
+    limit_read_ahead(monkeypatch, may_read_ahead)
     sock = sidecar.connect_and_exchange()
     request_id = sidecar.send_request(sock)
     if has_earlier_attempt:
@@ -42,7 +60,7 @@
         sidecar.wait_for_idle_upstream_connection()
     if unread_bytes:
         sock.sendall(unread_bytes)
-        run_until(lambda: sidecar.listener.unread_connections)
+        run_until(lambda: has_seen_further_bytes(sidecar, may_read_ahead))
     count = len(sidecar.upstream.seen)
     server_side = sidecar.only_connection().sock
     sock.close()
@@ -56,17 +74,19 @@
     run_until(lambda: not sidecar.listener.connections)
 
 
+@pytest.mark.parametrize("may_read_ahead", [False, True])
 def test_a_disconnect_after_unread_bytes_is_detected(
-    sidecar: InProcessSidecar,
+    sidecar: InProcessSidecar, monkeypatch: pytest.MonkeyPatch, may_read_ahead: bool
 ) -> None:
     """Unread bytes after a request must not hide from the listener that the client has disconnected."""
+    limit_read_ahead(monkeypatch, may_read_ahead)
     sidecar.upstream.script = never_respond
     sock = sidecar.connect()
     request_id = sidecar.send_request(sock)
     sidecar.start_attempt(request_id)
     run_until(lambda: sidecar.upstream.seen)
     sock.sendall(b"GET /look HT")
-    run_until(lambda: sidecar.listener.unread_connections)
+    run_until(lambda: has_seen_further_bytes(sidecar, may_read_ahead))
     sock.close()
     sweeping = gevent.spawn(sidecar.listener.sweep)
     run_until(sidecar.policy.disconnect_count)
--- a/tests/server/test_request_upload.py
+++ b/tests/server/test_request_upload.py
@@ -12,6 +12,8 @@
 from linetrack.server import request_upload
 from linetrack.server.clock import NEVER
 from linetrack.server.http1.requests import RequestReader
+from linetrack.server.memory_budget import MemoryBudget
+from linetrack.server.read_ahead import ReadAhead
 from linetrack.server.request_upload import (
     CLIENT_SEND_BUFFER_BYTES,
     UPSTREAM_STALL_TIMEOUT_US,
@@ -31,6 +33,11 @@
     peer: Any
     reader: RequestReader = field(default_factory=RequestReader)
     deadline: int = NEVER
+    read_ahead: ReadAhead = field(default_factory=lambda: ReadAhead(MemoryBudget(64)))
+
+    def read_next(self, max_bytes: int) -> bytes:
+        data: bytes = self.sock.recv(max_bytes)
+        return data
 
     def receive(self, data: bytes) -> None:
         self.reader.feed(data)
