An environment that another kind of machine made is made anew

What operators saw: with a .venv of another kind of machine the build ended with 0 and the sidecar with ModuleNotFoundError.

Cause: the interpreter of the environment is a link to the system's, of the same version on both kinds; nothing compared the machine.

Not tried on x86-64.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	.venv-dev/bin/ruff check --fix-only .
 	.venv-dev/bin/ruff format .
 
-.venv-dev/tools: requirements.txt requirements-tools.txt requirements-dev.txt
-	test -x .venv-dev/bin/python || python3 -m venv .venv-dev
+.venv-dev/tools: requirements.txt requirements-tools.txt requirements-dev.txt deploy/environment.sh
+	sh deploy/environment.sh .venv-dev
 	.venv-dev/bin/pip -q install -r requirements.txt -r requirements-tools.txt -r requirements-dev.txt
 	touch $@
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -2,9 +2,7 @@
 # Lint, type checks and tests, in a virtual environment of their own.
 set -eu
 cd "$(dirname "$0")/.."
-if ! test -x .venv-dev/bin/pytest; then
-    python3 -m venv .venv-dev
-fi
+sh deploy/environment.sh .venv-dev
 .venv-dev/bin/pip -q install -r requirements-dev.txt -r requirements-tools.txt -r requirements.txt
 .venv-dev/bin/ruff format --check .
 .venv-dev/bin/ruff check .
