One function writes the chunks of a body, and a check that could not fail is gone

The attempt runner and the response writer each had the loop that writes chunks and drops them; http1/encoding.py has it once. An upstream that moves has had a new object in the pool since the address got an owner, so that a kept connection's address cannot differ from its object's; the docstring of PooledUpstream says so. The function that reports an accepted request has a docstring. No behaviour is meant to change.

--- a/linetrack/server/attempt_runner.py
+++ b/linetrack/server/attempt_runner.py
@@ -23,7 +23,7 @@
 from linetrack.server.connection import Connection
 from linetrack.server.greenlets import yield_to_event_loop
 from linetrack.server.http1 import statuses
-from linetrack.server.http1.encoding import LAST_CHUNK, encode_chunk
+from linetrack.server.http1.encoding import LAST_CHUNK, write_chunks
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.headers import parse_load_report
 from linetrack.server.http1.requests import BodyStream, ClientRequest, encode_request
@@ -225,7 +225,7 @@
                 # The upstream responded or closed before the end of the request, so it was not executed.
                 self._finish(Outcome.CONNECT_FAILED)
                 return False
-            _write_chunks(connection, body_chunks, is_chunked)
+            write_chunks(connection.write, body_chunks, is_chunked)
         if self.attempt.has_ended:
             return False
         if is_chunked:
@@ -270,7 +270,7 @@
         response = connection.reader.completed_response
         if response is None or not response.keep_alive or connection.reader.has_unexpected_data:
             return
-        if upstream.status is EndpointStatus.UP and connection.address == upstream.address:
+        if upstream.status is EndpointStatus.UP:
             self.attempt.sock = None
             connection.reader.start_next_response()
             self.pool.keep_idle(connection, upstream, clock())
@@ -311,13 +311,6 @@
         self.runner.notify(finished, seen_at)
 
 
-def _write_chunks(connection: Connection, chunks: list[bytes | bytearray], is_chunked: bool) -> None:
-    """Write chunks of a body and drop them, so that they do not stay in memory during the next wait."""
-    for chunk in chunks:
-        connection.write(encode_chunk(chunk) if is_chunked else chunk)
-    chunks.clear()
-
-
 def _outcome(response: Response) -> Outcome:
     if response.status == statuses.OK:
         return Outcome.SUCCESS
--- a/linetrack/server/hot_restart.py
+++ b/linetrack/server/hot_restart.py
@@ -199,10 +199,10 @@
         """From now on, report each request that is accepted to the other process, until the channel ends."""
 
         def send(request_id: str) -> None:
+            """Report one request; run in a greenlet of its own, as the channel may have to wait."""
             if not channel.send(RequestAccepted(request_id)):
                 self._recent_ids.stop_announcing()
 
-        # In a greenlet of its own, as the channel may have to wait for the other process.
         self._recent_ids.on_added = partial(gevent.spawn, send)
 
     @property
--- a/linetrack/server/response_writer.py
+++ b/linetrack/server/response_writer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import structlog
 
 from linetrack.policy.events import Outcome
@@ -10,7 +12,7 @@
 from linetrack.server.active_request import FinalResponse
 from linetrack.server.client_timeouts import DeadlineSocket
 from linetrack.server.clock import NEVER, clock
-from linetrack.server.http1.encoding import LAST_CHUNK, encode_chunk
+from linetrack.server.http1.encoding import LAST_CHUNK, write_chunks
 from linetrack.server.http1.errors import MalformedMessageError
 from linetrack.server.http1.requests import ClientRequest
 from linetrack.server.http1.responses import (
@@ -69,11 +71,12 @@
     head = encode_response_head(
         framing, stream.content_length, keep_alive, stream.content_type, request.is_http10
     )
+    write_part = partial(_write_with_deadline, client)
     outcome = Outcome.CANCELLED  # if writing fails, the client has disconnected
     try:
-        _write_with_deadline(client, head)
+        write_part(head)
         while chunks := _read_chunks(client, stream):
-            _write_chunks(client, chunks, framing is BodyFraming.CHUNKED)
+            write_chunks(write_part, chunks, framing is BodyFraming.CHUNKED)
         if chunks is None:
             outcome = Outcome.RESET
             if framing is BodyFraming.CONNECTION_CLOSE:
@@ -98,13 +101,6 @@
         return None
 
 
-def _write_chunks(client: DeadlineSocket, chunks: list[bytes | bytearray], is_chunked: bool) -> None:
-    """Write chunks and drop them, so that they do not stay in memory during the next wait."""
-    for chunk in chunks:
-        _write_with_deadline(client, encode_chunk(chunk) if is_chunked else chunk)
-    chunks.clear()
-
-
 def _write_with_deadline(client: DeadlineSocket, data: bytes | bytearray) -> None:
     client.deadline = clock() + client_timeouts.STREAM_WRITE_TIMEOUT_US
     write(client.sock, data)
--- a/linetrack/server/upstream_pool.py
+++ b/linetrack/server/upstream_pool.py
@@ -41,9 +41,9 @@
 class PooledUpstream:
     """An endpoint and its idle connections; the one that became idle last is at the end.
 
-    An attempt keeps a reference to the object with which it began.  When the endpoint is removed, its status
-    is set here, so that the attempt's connection is never reused, even if another endpoint has the same name
-    or address by then.
+    An attempt keeps a reference to the object with which it began.  When the endpoint is removed, moves or is
+    started again, this object's status says that it is removed, so that the attempt's connection is never
+    reused, even if another endpoint has the same name or address by then.
     """
 
     address: tuple[str, int]
